--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line of flamingorock.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process settings and service files of flamingorock.
--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,23 @@
+//! The control machine: membership, configuration, ownership of databases, terms and promotion.
+
+mod action;
+mod control_config;
+mod event;
+mod group_operation;
+mod host_entry;
+mod machine;
+mod owner_record;
+mod state_change;
+mod store_answer;
+mod store_operation;
+
+pub use action::Action;
+pub use control_config::ControlConfig;
+pub use event::Event;
+pub use group_operation::GroupOperation;
+pub use host_entry::HostEntry;
+pub use machine::Control;
+pub use owner_record::OwnerRecord;
+pub use state_change::StateChange;
+pub use store_answer::StoreAnswer;
+pub use store_operation::StoreOperation;
--- /dev/null
+++ b/crates/core/src/instance_id.rs
@@ -0,0 +1,18 @@
+//! Identity of database instances.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::DatabaseId;
+
+/// Identity of one instance of a database.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{database}/{index}")]
+pub struct InstanceId {
+    /// The database that the instance belongs to.
+    pub database: DatabaseId,
+    /// Index in the database's list of instances.
+    pub index: u8,
+}
--- /dev/null
+++ b/crates/core/src/position.rs
@@ -0,0 +1,69 @@
+//! Positions in a database's replicated log.
+
+use core::fmt;
+
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{Lsn, Term};
+
+/// A point in a database's replicated log, ordered by term first.
+///
+/// An instance whose last entry has a later term than a position includes everything that was
+/// acknowledged up to that position: promotion picks the most advanced instance of a majority.
+#[derive(Clone, Copy, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Term of the log entry.
+    pub term: Term,
+    /// Number of the log entry.
+    pub lsn: Lsn,
+}
+
+impl Position {
+    /// Builds a position from its parts.
+    #[must_use]
+    pub fn new(term: Term, lsn: Lsn) -> Self {
+        Self { term, lsn }
+    }
+}
+
+impl fmt::Debug for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.term, self.lsn)
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+// Positions travel with every request and answer between proxies, hence the visitor by hand.
+impl Serialize for Position {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.term.0, self.lsn.0).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Position {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(2, PositionVisitor)
+    }
+}
+
+struct PositionVisitor;
+
+impl<'de> Visitor<'de> for PositionVisitor {
+    type Value = Position;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a term and a log sequence number")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Position, A::Error> {
+        let term = seq.next_element()?.ok_or_else(|| A::Error::invalid_length(0, &self))?;
+        let lsn = seq.next_element()?.ok_or_else(|| A::Error::invalid_length(1, &self))?;
+        Ok(Position::new(Term(term), Lsn(lsn)))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/caller_profile.rs
@@ -0,0 +1,10 @@
+//! What is known of a caller when it connects.
+
+use crate::DatabaseId;
+
+/// What is known of a caller when it connects.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerProfile {
+    /// Database that the caller works with.
+    pub database: DatabaseId,
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The flamingorock proxy daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/frontend/src/lib.rs
@@ -0,0 +1,1 @@
+//! PostgreSQL wire protocol towards callers and backend servers.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framing and encoding of messages between flamingorock proxies.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in or the demo job.
+
+fn main() {}
