--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -2,22 +2,29 @@
 
 mod action;
 mod control_config;
+mod counters;
 mod event;
 mod group_operation;
 mod host_entry;
+mod inputs;
 mod machine;
 mod owner_record;
 mod state_change;
+mod status;
 mod store_answer;
 mod store_operation;
+mod systems;
+mod tables;
 
 pub use action::Action;
 pub use control_config::ControlConfig;
+pub use counters::ControlCounters;
 pub use event::Event;
 pub use group_operation::GroupOperation;
 pub use host_entry::HostEntry;
 pub use machine::Control;
 pub use owner_record::OwnerRecord;
 pub use state_change::StateChange;
+pub use status::{ControlStatus, DatabaseStatus, HostStatus, InstanceStatus, OwnedStatus};
 pub use store_answer::StoreAnswer;
 pub use store_operation::StoreOperation;
--- /dev/null
+++ b/crates/core/src/control/inputs.rs
@@ -0,0 +1,51 @@
+//! Inputs of a tick, sorted by the system that takes them.
+
+use std::sync::Arc;
+
+use super::{Event, HostEntry, StoreAnswer, StoreOperation};
+use crate::configuration::Configuration;
+use crate::message::{ControlMessage, Heartbeat};
+use crate::traffic::ProbeFailure;
+use crate::{DatabaseId, GroupCallKey, HostId, InstanceReport, StoreCallKey};
+
+/// Answer to a group call.
+pub(crate) type GroupResult = Result<InstanceReport, ProbeFailure>;
+
+/// Inputs of a tick, sorted by the system that takes them.
+#[derive(Debug, Default)]
+pub(crate) struct Inputs {
+    pub(crate) heartbeats: Vec<Heartbeat>,
+    pub(crate) messages: Vec<(HostId, ControlMessage)>,
+    pub(crate) store_answers: Vec<(StoreCallKey, StoreAnswer)>,
+    /// Answers of the configuration loop, sorted out of `store_answers`.
+    pub(crate) configuration_answers: Vec<StoreAnswer>,
+    /// Answers of the ownership loop, sorted out of `store_answers`.
+    pub(crate) record_answers: Vec<(StoreOperation, StoreAnswer)>,
+    pub(crate) host_list: Option<Vec<HostEntry>>,
+    pub(crate) parsed: Vec<(u64, Result<Arc<Configuration>, String>)>,
+    pub(crate) group_answers: Vec<(GroupCallKey, GroupResult)>,
+    pub(crate) quiescent: Vec<(DatabaseId, u32)>,
+    pub(crate) superseded: Vec<(DatabaseId, u32)>,
+    pub(crate) promotion_requests: Vec<(DatabaseId, u8)>,
+    pub(crate) drain_requested: bool,
+}
+
+impl Inputs {
+    /// Adds an event to the queue of its system.
+    pub(crate) fn push(&mut self, event: Event) {
+        match event {
+            Event::HeartbeatReceived(heartbeat) => self.heartbeats.push(heartbeat),
+            Event::MessageReceived { from, message } => self.messages.push((from, message)),
+            Event::StoreAnswered { call, answer } => self.store_answers.push((call, answer)),
+            Event::HostListRead(entries) => self.host_list = Some(entries),
+            Event::ConfigurationParsed { version, result } => self.parsed.push((version, result)),
+            Event::GroupAnswered { call, result } => self.group_answers.push((call, result)),
+            Event::Quiescent { database, epoch } => self.quiescent.push((database, epoch)),
+            Event::Superseded { database, epoch } => self.superseded.push((database, epoch)),
+            Event::PromotionRequested { database, instance_index } => {
+                self.promotion_requests.push((database, instance_index));
+            }
+            Event::DrainRequested => self.drain_requested = true,
+        }
+    }
+}
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -2,21 +2,23 @@
 
 use std::collections::VecDeque;
 
-use super::{Action, ControlConfig, Event};
+use super::systems;
+use super::tables::Tables;
+use super::{Action, ControlConfig, ControlCounters, ControlStatus, Event};
 
 /// Decides membership, configuration, ownership of databases, terms and promotion.
 #[derive(Debug)]
 pub struct Control {
-    config: ControlConfig,
     inbox: VecDeque<Event>,
-    actions: Vec<Action>,
+    tables: Tables,
+    started: bool,
 }
 
 impl Control {
-    /// Creates the machine.
+    /// Creates the machine. It starts with its first tick.
     #[must_use]
     pub fn new(config: ControlConfig) -> Self {
-        Self { config, inbox: VecDeque::new(), actions: Vec::new() }
+        Self { inbox: VecDeque::new(), tables: Tables::new(config, 0), started: false }
     }
 
     /// Queues an event for the next tick.
@@ -25,24 +27,46 @@
     }
 
     /// Runs every system once.
-    pub fn tick(&mut self, _now_us: u64) {
-        self.inbox.clear();
+    pub fn tick(&mut self, now_us: u64) {
+        if !self.started {
+            self.tables = Tables::new(self.tables.config.clone(), now_us);
+            self.started = true;
+        }
+        self.tables.now_us = now_us;
+        for event in self.inbox.drain(..) {
+            self.tables.inputs.push(event);
+        }
+        systems::run_all(&mut self.tables);
+        self.tables.last_tick_us = now_us;
     }
 
     /// Takes the actions that the ticks have queued, in order.
     pub fn drain_actions(&mut self) -> impl Iterator<Item = Action> + '_ {
-        self.actions.drain(..)
+        self.tables.actions.drain(..)
     }
 
-    /// When the machine must be ticked even if no event arrives.
+    /// When the machine must be ticked even if no event arrives. Can be in the past, for the first
+    /// tick and when a decision needs another round of the systems.
     #[must_use]
     pub fn next_deadline_us(&self) -> Option<u64> {
-        None
+        if self.started { self.tables.deadlines.next_us() } else { Some(0) }
     }
 
     /// The settings.
     #[must_use]
     pub fn config(&self) -> &ControlConfig {
-        &self.config
+        &self.tables.config
+    }
+
+    /// State for the administration port, as of the last tick.
+    #[must_use]
+    pub fn status(&self) -> ControlStatus {
+        ControlStatus::from_tables(&self.tables)
+    }
+
+    /// Counters since the start.
+    #[must_use]
+    pub fn counters(&self) -> ControlCounters {
+        self.tables.counters
     }
 }
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -69,6 +69,29 @@
         /// Its term.
         term: Term,
     },
+    /// The configuration no longer has a database that this host owned.
+    #[display("database {database}: dropped by the configuration")]
+    DatabaseDropped {
+        /// The database.
+        database: DatabaseId,
+    },
+    /// An owned database is being moved: the primary to another instance or the ownership to the
+    /// standby.
+    #[display("database {database}: planned {change} started")]
+    TransferStarted {
+        /// The database.
+        database: DatabaseId,
+        /// What is being moved.
+        change: &'static str,
+    },
+    /// A planned change of primary was given up; the primary stays.
+    #[display("database {database}: planned promotion given up ({reason})")]
+    PromotionAbandoned {
+        /// The database.
+        database: DatabaseId,
+        /// Why.
+        reason: &'static str,
+    },
     /// The key-value service became reachable or unreachable.
     #[display("key-value service {}", if *available { "reachable" } else { "unreachable" })]
     StoreAvailability {
--- /dev/null
+++ b/crates/core/src/control/systems.rs
@@ -0,0 +1,65 @@
+//! Systems of the control machine, one a file, in the order in which a tick runs them.
+
+pub(crate) mod stalls;
+
+pub(crate) mod heartbeat_intake;
+pub(crate) mod suspicion;
+
+pub(crate) mod messages;
+pub(crate) mod store_answers;
+
+pub(crate) mod configuration_changes;
+pub(crate) mod configuration_fetch;
+pub(crate) mod configuration_store;
+pub(crate) mod leaving;
+
+pub(crate) mod group_answers;
+pub(crate) mod ownership;
+pub(crate) mod record_answers;
+
+pub(crate) mod detection;
+pub(crate) mod drain;
+pub(crate) mod fencing;
+pub(crate) mod following;
+pub(crate) mod handover;
+pub(crate) mod planned_promotion;
+pub(crate) mod resolving;
+
+pub(crate) mod monitor;
+pub(crate) mod record_calls;
+pub(crate) mod record_upkeep;
+
+pub(crate) mod heartbeat_sender;
+pub(crate) mod view_publisher;
+
+use super::tables::Tables;
+
+/// Runs every system once. The order lets a change reach all systems that depend on it within the
+/// same tick: inputs, then decisions from the fleet down to an instance, then outputs.
+pub(crate) fn run_all(tables: &mut Tables) {
+    stalls::run(tables);
+    heartbeat_intake::run(tables);
+    suspicion::run(tables);
+    messages::run(tables);
+    store_answers::run(tables);
+    configuration_changes::run(tables);
+    leaving::run(tables);
+    record_answers::run(tables);
+    group_answers::run(tables);
+    ownership::run(tables);
+    tables.due_owned = tables.deadlines.owned.take_due(tables.now_us);
+    drain::run(tables);
+    detection::run(tables);
+    planned_promotion::run(tables);
+    resolving::run(tables);
+    fencing::run(tables);
+    handover::run(tables);
+    following::run(tables);
+    record_upkeep::run(tables);
+    monitor::run(tables);
+    record_calls::run(tables);
+    configuration_fetch::run(tables);
+    configuration_store::run(tables);
+    heartbeat_sender::run(tables);
+    view_publisher::run(tables);
+}
--- /dev/null
+++ b/crates/core/src/control/systems/configuration_changes.rs
@@ -0,0 +1,124 @@
+//! Takes configuration documents and puts the newest one in force.
+
+use std::sync::Arc;
+
+use super::ownership;
+use crate::DatabaseId;
+use crate::configuration::Configuration;
+use crate::control::tables::{Document, Route, Tables};
+use crate::control::{Action, StateChange, StoreAnswer};
+
+/// Interval at which a host that does not watch the document reads it.
+const READ_INTERVAL_US: u64 = 30_000_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    for answer in core::mem::take(&mut tables.inputs.configuration_answers) {
+        take_store_answer(tables, answer);
+    }
+    for (version, result) in core::mem::take(&mut tables.inputs.parsed) {
+        take_parsed(tables, version, result);
+    }
+}
+
+/// Has a document parsed if it is newer than what is in force and has not been refused.
+pub(crate) fn offer(tables: &mut Tables, document: Document) {
+    if document.version < tables.configuration.current.version {
+        tables.counters.configurations_stale += 1;
+    }
+    if !tables.configuration.wants(document.version) {
+        return;
+    }
+    let Document { version, text } = document.clone();
+    tables.configuration.parsing = Some(document);
+    tables.actions.push(Action::ParseConfiguration { version, text });
+}
+
+fn take_store_answer(tables: &mut Tables, answer: StoreAnswer) {
+    let now_us = tables.now_us;
+    tables.configuration.store_call = None;
+    tables.deadlines.configuration_store.set((), now_us);
+    let StoreAnswer::Configuration { index, document } = answer else {
+        tables.configuration.store_loop.note_failure(now_us, &mut tables.rng);
+        tables.configuration.next_read_us = now_us;
+        return;
+    };
+    tables.configuration.store_loop.note_success();
+    tables.configuration.store_index = Some(index);
+    tables.configuration.next_read_us = now_us + tables.jittered(READ_INTERVAL_US);
+    if let Some((version, text)) = document {
+        offer(tables, Document { version, text });
+    }
+}
+
+fn take_parsed(tables: &mut Tables, version: u64, result: Result<Arc<Configuration>, String>) {
+    let Some(document) = tables.configuration.parsing.take_if(|d| d.version == version) else {
+        return;
+    };
+    match result {
+        Ok(configuration) => put_in_force(tables, configuration, document),
+        Err(reason) => {
+            tables.configuration.refused.insert(version);
+            tables.counters.configurations_refused += 1;
+            tables.log(StateChange::ConfigurationRefused { version, reason });
+        }
+    }
+}
+
+fn put_in_force(tables: &mut Tables, configuration: Arc<Configuration>, document: Document) {
+    let version = document.version;
+    if version <= tables.configuration.current.version {
+        return;
+    }
+    let previous = core::mem::replace(&mut tables.configuration.current, configuration);
+    tables.configuration.text = Some(document.text);
+    tables.configuration.refused.retain(|&refused| refused > version);
+    tables.leaving_stale = true;
+    tables.view_changed = true;
+    tables.deadlines.heartbeat.set((), tables.now_us);
+    tables.log(StateChange::ConfigurationInForce { version });
+    drop_databases(tables);
+    add_databases(tables);
+    restart_changed(tables, &previous);
+}
+
+/// Lets go of the databases that the configuration no longer has.
+fn drop_databases(tables: &mut Tables) {
+    let current = Arc::clone(&tables.configuration.current);
+    let dropped: Vec<DatabaseId> =
+        tables.routes.keys().copied().filter(|&id| current.database(id).is_none()).collect();
+    for database in dropped {
+        if tables.owned.contains_key(&database) {
+            ownership::release(tables, database);
+            tables.log(StateChange::DatabaseDropped { database });
+        }
+        ownership::forget(tables, database);
+    }
+}
+
+fn add_databases(tables: &mut Tables) {
+    let current = Arc::clone(&tables.configuration.current);
+    for database in &current.databases {
+        tables.routes.entry(database.id).or_insert_with(Route::new);
+        tables.deadlines.route.set(database.id, tables.now_us);
+    }
+}
+
+/// Fences owned databases again whose instances have changed, under a term that the new set of
+/// instances agrees on.
+fn restart_changed(tables: &mut Tables, previous: &Configuration) {
+    let now_us = tables.now_us;
+    let current = Arc::clone(&tables.configuration.current);
+    for (&id, owned) in &mut tables.owned {
+        let (Some(old), Some(new)) = (previous.database(id), current.database(id)) else {
+            continue;
+        };
+        let addresses = |database: &crate::configuration::Database| -> Vec<_> {
+            database.instances.iter().map(|instance| instance.address).collect()
+        };
+        if addresses(old) == addresses(new) {
+            continue;
+        }
+        owned.replace_instances(new.instances.len(), now_us);
+        tables.deadlines.owned.set(id, now_us);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/configuration_fetch.rs
@@ -0,0 +1,44 @@
+//! Fetches a newer configuration document from a peer.
+
+use crate::HostId;
+use crate::control::Action;
+use crate::control::tables::{HostState, Tables};
+use crate::message::ControlMessage;
+
+/// Time after which another request is sent if a peer has not answered.
+const ANSWER_LIMIT_US: u64 = 1_000_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    let now_us = tables.now_us;
+    if tables.deadlines.configuration_fetch.take_due(now_us).is_empty() {
+        return;
+    }
+    if let Some((_, limit_us)) = tables.configuration.fetch
+        && now_us < limit_us
+    {
+        tables.deadlines.configuration_fetch.set((), limit_us);
+        return;
+    }
+    let Some(to) = newest_peer(tables) else {
+        tables.configuration.fetch = None;
+        return;
+    };
+    let limit_us = now_us + ANSWER_LIMIT_US;
+    tables.configuration.fetch = Some((to, limit_us));
+    tables.deadlines.configuration_fetch.set((), limit_us);
+    let message = ControlMessage::ConfigurationRequest;
+    tables.actions.push(Action::SendMessage { to, message });
+}
+
+/// The live peer with the highest version that is wanted; not the one that has just failed to
+/// answer if there is another.
+fn newest_peer(tables: &Tables) -> Option<HostId> {
+    let asked = tables.configuration.fetch.map(|(host, _)| host);
+    tables
+        .hosts
+        .iter()
+        .filter(|(_, row)| row.state == HostState::Alive)
+        .filter(|(_, row)| tables.configuration.wants(row.configuration_version))
+        .max_by_key(|&(host, row)| (row.configuration_version, Some(host) != asked))
+        .map(|(host, _)| host)
+}
--- /dev/null
+++ b/crates/core/src/control/systems/detection.rs
@@ -0,0 +1,92 @@
+//! Decides when the primary of an open database is lost.
+
+use super::monitor;
+use crate::control::StateChange;
+use crate::control::tables::{OwnedDatabase, Phase, Tables};
+use crate::{DatabaseId, InstanceRole};
+
+/// Time for which a primary may leave status calls unanswered, and its replicas without a message.
+const LOSS_US: u64 = 600_000;
+/// Status calls in a row that end with a refused or broken connection. The first may be the break of
+/// an established connection, so that three mean two refused attempts at least 100 ms apart.
+const LOSSES: u32 = 3;
+
+/// State of a primary.
+enum Verdict {
+    Healthy,
+    /// Something is wrong; judge again at this time.
+    CheckAt(u64),
+    /// Lost, for the given reason.
+    Lost(&'static str),
+}
+
+pub(crate) fn run(tables: &mut Tables) {
+    let now_us = tables.now_us;
+    for database in tables.due_owned.clone() {
+        let Some(owned) = tables.owned.get_mut(&database) else { continue };
+        let Phase::Open { primary } = owned.phase else { continue };
+        note_majority(owned, now_us);
+        match judge(owned, primary, now_us) {
+            Verdict::Healthy => {}
+            Verdict::CheckAt(due_us) => {
+                tables.deadlines.owned.set_earlier(database, due_us.max(now_us + 1));
+            }
+            Verdict::Lost(reason) => declare_lost(tables, database, primary, reason),
+        }
+        monitor::speed_up(tables, database);
+    }
+}
+
+/// Notes whether a majority of the instances answers.
+fn note_majority(owned: &mut OwnedDatabase, now_us: u64) {
+    let answering = owned.instances.iter().filter(|state| state.answers()).count();
+    if answering >= owned.majority() {
+        owned.had_majority = true;
+        owned.minority_since_us = None;
+    } else {
+        owned.minority_since_us.get_or_insert(now_us);
+    }
+}
+
+/// Without a majority of instances that answer, the primary not counted, nobody can tell whether the
+/// primary or this host is cut off, and no other primary could be promoted.
+fn judge(owned: &OwnedDatabase, primary: u8, now_us: u64) -> Verdict {
+    let state = &owned.instances[usize::from(primary)];
+    let is_deposed = state.report.is_some_and(|report| {
+        report.role != InstanceRole::Primary && report.accepted_term >= owned.term
+    });
+    if is_deposed && state.answers() {
+        return Verdict::Lost("it is no longer primary");
+    }
+    let others = || {
+        let rows = owned.indices().zip(&owned.instances);
+        rows.filter(|&(index, state)| index != primary && state.answers()).map(|(_, state)| state)
+    };
+    if others().count() < owned.majority() {
+        return Verdict::Healthy;
+    }
+    if state.connection_losses >= LOSSES {
+        return Verdict::Lost("its connections are refused");
+    }
+    let is_silent = others().all(|replica| {
+        replica.silent_since_us().is_some_and(|at_us| at_us + LOSS_US <= replica.reported_at_us)
+    });
+    if is_silent {
+        return Verdict::Lost("its replicas do not hear from it");
+    }
+    match state.failing_since_us {
+        Some(since_us) if since_us + LOSS_US <= now_us => Verdict::Lost("it does not answer"),
+        Some(since_us) => Verdict::CheckAt(since_us + LOSS_US),
+        None => Verdict::Healthy,
+    }
+}
+
+fn declare_lost(tables: &mut Tables, database: DatabaseId, primary: u8, reason: &'static str) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    owned.excluded = Some(primary);
+    owned.begin_next_term(owned.term, now_us);
+    tables.counters.primaries_lost += 1;
+    tables.view_changed = true;
+    tables.log(StateChange::PrimaryLost { database, instance_index: primary, reason });
+}
--- /dev/null
+++ b/crates/core/src/control/systems/drain.rs
@@ -0,0 +1,47 @@
+//! Hands over everything when the process is told to shut down.
+
+use super::ownership;
+use crate::DatabaseId;
+use crate::control::tables::{Tables, Transfer};
+use crate::control::{Action, StateChange};
+
+pub(crate) fn run(tables: &mut Tables) {
+    if core::mem::take(&mut tables.inputs.drain_requested) && !tables.draining {
+        start(tables);
+    }
+    if !tables.draining || tables.drain_finished {
+        return;
+    }
+    for database in tables.due_owned.clone() {
+        hand_over(tables, database);
+    }
+    if tables.owned.is_empty() {
+        tables.drain_finished = true;
+        tables.actions.push(Action::DrainFinished);
+    }
+}
+
+fn start(tables: &mut Tables) {
+    tables.draining = true;
+    tables.view_changed = true;
+    tables.deadlines.heartbeat.set((), tables.now_us);
+    tables.due_owned = tables.owned.keys().copied().collect();
+}
+
+/// Starts the handover of a database once it has a live standby. Until then it goes on serving. If
+/// no host can take it, it is let go.
+fn hand_over(tables: &mut Tables, database: DatabaseId) {
+    let limit_us = tables.now_us + tables.config.handover_limit_us;
+    if tables.hosts.first_eligible(database).is_none() {
+        ownership::release(tables, database);
+        return;
+    }
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let has_standby = owned.standby.is_some_and(|s| tables.hosts.is_eligible(s.host));
+    if !has_standby || matches!(owned.transfer, Some(Transfer::Handover { .. })) {
+        return;
+    }
+    owned.transfer = Some(Transfer::Handover { limit_us, quiescent: false, next_offer_us: 0 });
+    tables.view_changed = true;
+    tables.log(StateChange::TransferStarted { database, change: "handover" });
+}
--- /dev/null
+++ b/crates/core/src/control/systems/fencing.rs
@@ -0,0 +1,137 @@
+//! Fences the instances of a database, chooses the next primary and promotes it.
+
+use core::cmp::Reverse;
+
+use crate::control::tables::{OwnedDatabase, Phase, Tables, Transfer};
+use crate::control::{GroupOperation, StateChange};
+use crate::{DatabaseId, InstanceId};
+
+const FENCE_LIMIT_US: u64 = 400_000;
+const PROMOTE_LIMIT_US: u64 = 500_000;
+/// Time that the rest gets to answer once a majority has accepted the term. A minority instance can
+/// have a higher position, which matters under `durability = primary`.
+const MAJORITY_GRACE_US: u64 = 30_000;
+
+/// What follows from the answers to the fencing calls.
+enum Choice {
+    /// Too few instances have accepted the term.
+    NoMajority,
+    /// The rest gets until this time.
+    WaitForRest(u64),
+    /// An earlier process used the term for a promotion.
+    TermUsed,
+    /// This instance becomes primary.
+    Promote(u8),
+}
+
+pub(crate) fn run(tables: &mut Tables) {
+    for database in tables.due_owned.clone() {
+        let Some(owned) = tables.owned.get(&database) else { continue };
+        if matches!(owned.phase, Phase::Fencing { .. }) && !owned.wants_epoch {
+            send_calls(tables, database);
+            decide(tables, database);
+        }
+    }
+}
+
+fn send_calls(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let owned = &tables.owned[&database];
+    let operation = GroupOperation::AcceptTerm(owned.term);
+    for index in owned.indices() {
+        let instance = InstanceId { database, index };
+        let state = &tables.owned[&database].instances[usize::from(index)];
+        if state.fenced.is_some() || state.fence_call.is_some() {
+            continue;
+        }
+        let retry_at_us = state.retry_at_us;
+        if now_us < retry_at_us {
+            tables.deadlines.owned.set_earlier(database, retry_at_us);
+            continue;
+        }
+        let call = tables.call_group(instance, operation, FENCE_LIMIT_US);
+        if let Some(state) = tables.instance_mut(instance) {
+            state.fence_call = Some(call);
+        }
+    }
+}
+
+fn decide(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let leaving = tables.leaving_indices(database);
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    match choose(owned, &leaving, now_us) {
+        Choice::NoMajority => {}
+        Choice::WaitForRest(until_us) => tables.deadlines.owned.set_earlier(database, until_us),
+        Choice::TermUsed => {
+            owned.begin_next_term(owned.term, now_us);
+            tables.deadlines.owned.set(database, now_us);
+        }
+        Choice::Promote(index) => {
+            owned.phase = Phase::Promoting { index };
+            let operation = GroupOperation::Promote(owned.term);
+            tables.call_group(InstanceId { database, index }, operation, PROMOTE_LIMIT_US);
+        }
+    }
+}
+
+/// Chooses the instance with the highest position among those that have accepted the term. An
+/// instance on a leaving host is chosen only if no other has the position; after that a wanted
+/// instance goes first, then the last primary.
+fn choose(owned: &mut OwnedDatabase, leaving: &[u8], now_us: u64) -> Choice {
+    let majority = owned.majority();
+    let fenced: Vec<_> = owned
+        .indices()
+        .zip(&owned.instances)
+        .filter_map(|(index, state)| Some((index, state.fenced?)))
+        .collect();
+    if fenced.len() < majority {
+        return Choice::NoMajority;
+    }
+    owned.had_majority = true;
+    let is_pending = owned.instances.iter().any(|s| s.fenced.is_none() && !s.fence_failed);
+    let Phase::Fencing { majority_at_us, .. } = &mut owned.phase else { return Choice::NoMajority };
+    let grace_ends_us = *majority_at_us.get_or_insert(now_us) + MAJORITY_GRACE_US;
+    if is_pending && now_us < grace_ends_us {
+        return Choice::WaitForRest(grace_ends_us);
+    }
+    if fenced.iter().any(|(_, position)| position.term >= owned.term) {
+        return Choice::TermUsed;
+    }
+    // A lost primary may still be reachable from here, but not from its group. The others suffice
+    // if they are a majority: whatever was acknowledged, one of them has it.
+    let excluded = owned.excluded.filter(|excluded| {
+        fenced.iter().filter(|(index, _)| index != excluded).count() >= majority
+    });
+    let best = fenced.iter().filter(|&&(index, _)| Some(index) != excluded).max_by_key(
+        |&&(index, position)| {
+            let is_wanted = owned.wanted == Some(index);
+            let was_primary = owned.last_primary == Some(index);
+            (position, !leaving.contains(&index), is_wanted, was_primary, Reverse(index))
+        },
+    );
+    best.map_or(Choice::NoMajority, |&(index, _)| Choice::Promote(index))
+}
+
+/// Opens a database for work once its primary has been promoted.
+pub(crate) fn open(tables: &mut Tables, instance: InstanceId) {
+    let now_us = tables.now_us;
+    let InstanceId { database, index } = instance;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    owned.phase = Phase::Open { primary: index };
+    owned.last_primary = Some(index);
+    owned.excluded = None;
+    owned.wanted = None;
+    owned.minority_since_us = None;
+    if matches!(owned.transfer, Some(Transfer::Promotion { .. })) {
+        owned.transfer = None;
+    }
+    let term = owned.term;
+    for index in owned.indices() {
+        tables.deadlines.instance.set(InstanceId { database, index }, now_us);
+    }
+    tables.counters.promotions += 1;
+    tables.view_changed = true;
+    tables.deadlines.owned.set_earlier(database, now_us);
+    tables.log(StateChange::PrimaryPromoted { database, instance_index: index, term });
+}
--- /dev/null
+++ b/crates/core/src/control/systems/group_answers.rs
@@ -0,0 +1,129 @@
+//! Takes answers of database instances into the table of owned databases.
+
+use super::{fencing, monitor, ownership};
+use crate::control::GroupOperation;
+use crate::control::inputs::GroupResult;
+use crate::control::tables::{GroupCall, Phase, Tables};
+use crate::traffic::ProbeFailure;
+use crate::{DatabaseId, GroupCallKey, InstanceReport, Term};
+
+/// Delay before a failed fencing or follow call is repeated.
+const RETRY_US: u64 = 100_000;
+
+/// Answers that have arrived count before deadlines, which both can be due after a delay of this
+/// process.
+pub(crate) fn run(tables: &mut Tables) {
+    for (key, result) in core::mem::take(&mut tables.inputs.group_answers) {
+        finish(tables, key, result);
+    }
+    for key in tables.deadlines.group_call.take_due(tables.now_us) {
+        finish(tables, key, Err(ProbeFailure::Timeout));
+    }
+}
+
+fn finish(tables: &mut Tables, key: GroupCallKey, result: GroupResult) {
+    let Some(call) = tables.group_calls.remove(key) else { return };
+    tables.deadlines.group_call.cancel(key);
+    if result.is_err() {
+        tables.counters.group_failures += 1;
+    }
+    let database = call.instance.database;
+    if !take_instance_state(tables, key, &call, result) {
+        return;
+    }
+    if let GroupOperation::Promote(term) = call.operation {
+        take_promotion(tables, &call, term, result);
+    }
+    if let Ok(report) = result {
+        check_term(tables, database, report);
+    }
+    if let GroupOperation::Status = call.operation {
+        monitor::schedule(tables, call.instance);
+    }
+    tables.deadlines.owned.set_earlier(database, tables.now_us);
+}
+
+/// Updates the row of the instance. Returns `false` for an answer that no longer concerns anything
+/// here.
+fn take_instance_state(
+    tables: &mut Tables,
+    key: GroupCallKey,
+    call: &GroupCall,
+    result: GroupResult,
+) -> bool {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&call.instance.database) else { return false };
+    let term = owned.term;
+    let Some(state) = owned.instances.get_mut(usize::from(call.instance.index)) else {
+        return false;
+    };
+    let accepted = result.is_ok_and(|report| report.accepted);
+    let retry_at_us = if accepted { now_us } else { now_us + RETRY_US };
+    match call.operation {
+        GroupOperation::Status => {
+            if state.status_call.take_if(|present| *present == key).is_none() {
+                return false;
+            }
+            if let Err(failure) = result {
+                state.note_failure(call.sent_at_us, failure);
+            }
+        }
+        GroupOperation::AcceptTerm(_) => {
+            if state.fence_call.take_if(|present| *present == key).is_none() {
+                return false;
+            }
+            state.fence_failed = !accepted;
+            state.retry_at_us = retry_at_us;
+            state.fenced = result.ok().filter(|report| report.accepted).map(|r| r.position);
+        }
+        GroupOperation::Follow { .. } => {
+            if state.follow_call.take_if(|present| *present == key).is_none() {
+                return false;
+            }
+            state.retry_at_us = retry_at_us;
+            state.following_since_us = accepted.then_some(now_us);
+        }
+        GroupOperation::Promote(promoted) if promoted != term => return false,
+        GroupOperation::Promote(_) => {}
+    }
+    if let Ok(report) = result {
+        state.note_report(report, call.sent_at_us, now_us);
+    }
+    true
+}
+
+/// A lost answer of a promotion call leaves open whether the instance was promoted.
+fn take_promotion(tables: &mut Tables, call: &GroupCall, term: Term, result: GroupResult) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&call.instance.database) else { return };
+    let index = call.instance.index;
+    if owned.phase != (Phase::Promoting { index }) || owned.term != term {
+        return;
+    }
+    match result {
+        Ok(report) if report.accepted => fencing::open(tables, call.instance),
+        // The term was too low: `check_term` raises it.
+        Ok(_) => {}
+        Err(_) => {
+            owned.phase = Phase::Resolving { index, since_us: now_us };
+            tables.deadlines.instance.set(call.instance, now_us);
+        }
+    }
+}
+
+/// An accepted term above the present one belongs to another owner, or to an attempt of this host
+/// that was cut short.
+fn check_term(tables: &mut Tables, database: DatabaseId, report: InstanceReport) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let accepted = report.accepted_term;
+    if accepted <= owned.term {
+        return;
+    }
+    if accepted.epoch() > owned.epoch {
+        ownership::learn(tables, database, None, accepted.epoch());
+    } else {
+        owned.begin_next_term(accepted, now_us);
+        tables.view_changed = true;
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/handover.rs
@@ -0,0 +1,92 @@
+//! Hands databases over to their standby.
+
+use super::ownership;
+use crate::control::Action;
+use crate::control::tables::{OwnedDatabase, Phase, Tables, Transfer};
+use crate::message::ControlMessage;
+use crate::{DatabaseId, HostId};
+
+/// Time without a majority of instances after which the standby, which may see more of them, is
+/// offered the database.
+const MINORITY_LIMIT_US: u64 = 2_000_000;
+/// The same for an owner that has never seen a majority, so that a database that nobody can serve
+/// does not go round the fleet every 2 s.
+const NEVER_MAJORITY_LIMIT_US: u64 = 10_000_000;
+/// Interval at which an offer is repeated until the standby's heartbeat shows the ownership.
+const OFFER_INTERVAL_US: u64 = 200_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    for database in tables.due_owned.clone() {
+        advance(tables, database);
+        offer_for_majority(tables, database);
+    }
+}
+
+/// Goes on with a handover: waits until nothing runs or the limit is reached, then offers.
+fn advance(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let is_open = matches!(owned.phase, Phase::Open { .. });
+    let Some(Transfer::Handover { limit_us, quiescent, next_offer_us }) = &mut owned.transfer
+    else {
+        return;
+    };
+    if is_open && !*quiescent && now_us < *limit_us {
+        tables.deadlines.owned.set_earlier(database, *limit_us);
+        return;
+    }
+    if now_us >= *next_offer_us {
+        *next_offer_us = now_us + OFFER_INTERVAL_US;
+        offer(tables, database);
+    }
+    tables.deadlines.owned.set_earlier(database, now_us + OFFER_INTERVAL_US);
+}
+
+fn offer_for_majority(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let Some(since_us) = minority_since_us(owned) else { return };
+    let limit_us = if owned.had_majority { MINORITY_LIMIT_US } else { NEVER_MAJORITY_LIMIT_US };
+    let due_us = (since_us + limit_us).max(owned.next_offer_us);
+    if now_us < due_us {
+        tables.deadlines.owned.set_earlier(database, due_us);
+        return;
+    }
+    owned.next_offer_us = now_us + MINORITY_LIMIT_US;
+    tables.deadlines.owned.set_earlier(database, now_us + MINORITY_LIMIT_US);
+    offer(tables, database);
+}
+
+/// Since when fewer than a majority of the instances answer or can be fenced.
+fn minority_since_us(owned: &OwnedDatabase) -> Option<u64> {
+    match owned.phase {
+        Phase::Open { .. } => owned.minority_since_us,
+        Phase::Fencing { since_us, majority_at_us: None } => Some(since_us),
+        _ => None,
+    }
+}
+
+fn offer(tables: &mut Tables, database: DatabaseId) {
+    let Some(owned) = tables.owned.get(&database) else { return };
+    let Some(standby) = owned.standby.filter(|standby| tables.hosts.is_eligible(standby.host))
+    else {
+        return;
+    };
+    let from = tables.config.host;
+    let message = ControlMessage::TakeOver { database, from, from_epoch: owned.epoch };
+    tables.counters.handover_offers += 1;
+    tables.actions.push(Action::SendMessage { to: standby.host, message });
+}
+
+/// Takes a database that its owner offers, if this host is the standby that the owner's record names.
+pub(crate) fn accept(tables: &mut Tables, database: DatabaseId, from: HostId, from_epoch: u32) {
+    if tables.draining || tables.owned.contains_key(&database) {
+        return;
+    }
+    let Some(route) = tables.routes.get(&database) else { return };
+    let Some(reservation) = route.reservation else { return };
+    if reservation.from == from && reservation.from_epoch == from_epoch && route.epoch == from_epoch
+    {
+        ownership::take_over(tables, database, reservation.epoch);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/heartbeat_intake.rs
@@ -0,0 +1,132 @@
+//! Takes heartbeats into the tables of hosts and routes.
+
+use super::ownership;
+use crate::control::StateChange;
+use crate::control::tables::{FAR_SUSPICION_US, HostState, Reservation, SUSPICION_US, Tables};
+use crate::message::{Heartbeat, OwnedDatabase};
+use crate::{DatabaseId, HostId};
+
+pub(crate) fn run(tables: &mut Tables) {
+    for heartbeat in core::mem::take(&mut tables.inputs.heartbeats) {
+        if !accept(tables, &heartbeat) {
+            tables.counters.heartbeats_dropped += 1;
+            continue;
+        }
+        tables.counters.heartbeats_received += 1;
+        for &listed in &heartbeat.heard {
+            note_listed(tables, heartbeat.host, listed);
+        }
+        for owned in &heartbeat.owned {
+            note_owned(tables, heartbeat.host, owned);
+        }
+        note_missing(tables, &heartbeat);
+        for update in &heartbeat.updates {
+            ownership::learn(tables, update.database, Some(update.owner), update.epoch);
+        }
+    }
+}
+
+/// Checks a heartbeat against the sender's row and updates the row. A datagram of an earlier process
+/// or one that was overtaken does not count.
+fn accept(tables: &mut Tables, heartbeat: &Heartbeat) -> bool {
+    let now_us = tables.now_us;
+    let listed_as_standby =
+        heartbeat.owned.iter().any(|owned| owned.standby == Some(tables.config.host));
+    let Some(row) = tables.hosts.get_mut(heartbeat.host) else { return false };
+    let key = (heartbeat.incarnation, heartbeat.sequence);
+    if key <= (row.incarnation, row.sequence) {
+        return false;
+    }
+    let changed = heartbeat.incarnation != row.incarnation || heartbeat.draining != row.draining;
+    let is_newer_version = heartbeat.configuration_version > row.configuration_version;
+    (row.incarnation, row.sequence) = key;
+    row.draining = heartbeat.draining;
+    row.configuration_version = heartbeat.configuration_version;
+    row.heard_at_us = Some(now_us);
+    // The sender sends every heartbeat to its standbys as well.
+    let is_regular = row.is_near || listed_as_standby;
+    row.silent_at_us = now_us + if is_regular { SUSPICION_US } else { FAR_SUSPICION_US };
+    tables.deadlines.suspicion.set(heartbeat.host, row.suspect_at_us());
+    mark_alive(tables, heartbeat.host);
+    if changed {
+        wake_dependents(tables);
+    }
+    if is_newer_version || tables.configuration.wants(heartbeat.configuration_version) {
+        tables.deadlines.configuration_fetch.set_earlier((), now_us);
+    }
+    true
+}
+
+/// Notes that a third host has heard a host recently.
+fn note_listed(tables: &mut Tables, sender: HostId, listed: HostId) {
+    let now_us = tables.now_us;
+    let Some(row) = tables.hosts.get_mut(listed) else { return };
+    if listed == sender {
+        return;
+    }
+    row.vouched_at_us = Some(now_us);
+    if !row.is_near {
+        row.silent_at_us = row.silent_at_us.max(now_us + FAR_SUSPICION_US);
+    }
+    mark_alive(tables, listed);
+}
+
+fn mark_alive(tables: &mut Tables, host: HostId) {
+    let Some(row) = tables.hosts.get_mut(host) else { return };
+    if row.state == HostState::Alive {
+        return;
+    }
+    row.state = HostState::Alive;
+    let suspect_at_us = row.suspect_at_us();
+    tables.deadlines.suspicion.set(host, suspect_at_us);
+    tables.log(StateChange::HostAlive { host });
+    wake_dependents(tables);
+}
+
+/// Has everything that depends on the set of live hosts looked at again in this tick.
+pub(crate) fn wake_dependents(tables: &mut Tables) {
+    let now_us = tables.now_us;
+    for &database in tables.owned.keys() {
+        tables.deadlines.owned.set(database, now_us);
+    }
+    tables.deadlines.configuration_store.set_earlier((), now_us);
+}
+
+/// Takes over what an owner says of one of its databases.
+fn note_owned(tables: &mut Tables, owner: HostId, owned: &OwnedDatabase) {
+    ownership::learn(tables, owned.database, Some(owner), owned.epoch);
+    let is_settled = tables.is_settled();
+    let host = tables.config.host;
+    let Some(route) = tables.routes.get_mut(&owned.database) else { return };
+    if route.owner != Some(owner) || route.epoch != owned.epoch {
+        return;
+    }
+    route.denied_since_us = None;
+    route.standby = owned.standby;
+    route.primary_index = owned.primary_index;
+    // A process that has just started may be listed for a reservation of its predecessor, which may
+    // have used it.
+    let is_mine = is_settled && owned.standby == Some(host);
+    route.reservation = is_mine.then_some(Reservation {
+        from: owner,
+        from_epoch: owned.epoch,
+        epoch: owned.standby_epoch,
+    });
+}
+
+/// Notes the databases that should be the sender's but that it does not list. A sender with a newer
+/// configuration may have dropped them.
+fn note_missing(tables: &mut Tables, heartbeat: &Heartbeat) {
+    if heartbeat.configuration_version > tables.configuration.current.version {
+        return;
+    }
+    let Some(databases) = tables.routes_by_owner.get(&heartbeat.host) else { return };
+    let missing: Vec<DatabaseId> = databases
+        .iter()
+        .copied()
+        .filter(|&id| !heartbeat.owned.iter().any(|owned| owned.database == id))
+        .collect();
+    for database in missing {
+        ownership::note_denied(tables, database);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/monitor.rs
@@ -0,0 +1,87 @@
+//! Sends status calls to the instances of owned databases.
+
+use crate::InstanceId;
+use crate::control::GroupOperation;
+use crate::control::tables::{OwnedDatabase, Phase, Tables};
+
+const PRIMARY_INTERVAL_US: u64 = 200_000;
+const REPLICA_INTERVAL_US: u64 = 600_000;
+/// Interval for all instances while something seems wrong.
+const FAST_INTERVAL_US: u64 = 100_000;
+/// Time after which a status call counts as missed.
+const STATUS_LIMIT_US: u64 = 200_000;
+/// Silence of the primary from which something seems wrong: three missed keepalives.
+const EARLY_SILENCE_US: u64 = 300_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    let now_us = tables.now_us;
+    for instance in tables.deadlines.instance.take_due(now_us) {
+        if !is_monitored(tables, instance) {
+            continue;
+        }
+        let call = tables.call_group(instance, GroupOperation::Status, STATUS_LIMIT_US);
+        if let Some(state) = tables.instance_mut(instance) {
+            state.status_call = Some(call);
+            state.status_sent_us = now_us;
+        }
+    }
+}
+
+/// Whether status calls go to the instance now: at most one at a time, to all instances of an open
+/// database and to an instance whose promotion is in doubt.
+fn is_monitored(tables: &Tables, instance: InstanceId) -> bool {
+    let Some(owned) = tables.owned.get(&instance.database) else { return false };
+    let is_free = owned
+        .instances
+        .get(usize::from(instance.index))
+        .is_some_and(|state| state.status_call.is_none());
+    is_free
+        && match owned.phase {
+            Phase::Open { .. } => true,
+            Phase::Resolving { index, .. } => index == instance.index,
+            Phase::Fencing { .. } | Phase::Promoting { .. } => false,
+        }
+}
+
+/// Sets when the next status call goes to an instance, after the previous one has ended.
+pub(crate) fn schedule(tables: &mut Tables, instance: InstanceId) {
+    let Some(owned) = tables.owned.get(&instance.database) else { return };
+    let state = &owned.instances[usize::from(instance.index)];
+    let due_us = state.status_sent_us + interval_us(owned, instance.index);
+    tables.deadlines.instance.set(instance, due_us.max(tables.now_us));
+}
+
+/// Brings the next calls to all instances forward while something seems wrong.
+pub(crate) fn speed_up(tables: &mut Tables, database: crate::DatabaseId) {
+    let Some(owned) = tables.owned.get(&database) else { return };
+    if !is_fast(owned) {
+        return;
+    }
+    for (index, state) in owned.indices().zip(&owned.instances) {
+        if state.status_call.is_none() {
+            let due_us = (state.status_sent_us + FAST_INTERVAL_US).max(tables.now_us);
+            tables.deadlines.instance.set_earlier(InstanceId { database, index }, due_us);
+        }
+    }
+}
+
+fn interval_us(owned: &OwnedDatabase, index: u8) -> u64 {
+    match owned.phase {
+        _ if is_fast(owned) => FAST_INTERVAL_US,
+        Phase::Open { primary } if primary != index => REPLICA_INTERVAL_US,
+        _ => PRIMARY_INTERVAL_US,
+    }
+}
+
+/// Whether something seems wrong, or a planned change waits for positions.
+fn is_fast(owned: &OwnedDatabase) -> bool {
+    let is_resolving = matches!(owned.phase, Phase::Resolving { .. });
+    is_resolving
+        || owned.transfer.is_some()
+        || owned.instances.iter().any(|state| {
+            let is_silent = state
+                .silent_since_us()
+                .is_some_and(|at_us| at_us + EARLY_SILENCE_US <= state.reported_at_us);
+            state.failing_since_us.is_some() || is_silent
+        })
+}
--- /dev/null
+++ b/crates/core/src/control/systems/ownership.rs
@@ -0,0 +1,215 @@
+//! Decides who owns a database, and takes over what has lost its owner.
+
+use crate::control::tables::{OwnedDatabase, Route, Tables};
+use crate::control::{StateChange, StoreOperation};
+use crate::message::OwnershipUpdate;
+use crate::{DatabaseId, HostId};
+
+/// Time without owner and standby after which any host may claim a database.
+const CLAIM_DELAY_US: u64 = 2_000_000;
+/// Delay between the hosts of the rendezvous order.
+const CLAIM_STEP_US: u64 = 300_000;
+/// Hosts that wait in order; those behind all wait as long as the last of these.
+const CLAIM_STEPS: u64 = 10;
+/// Extra delay while the standby is alive. It may have forgotten its reservation in a restart.
+const STANDBY_DELAY_US: u64 = 3_000_000;
+/// Time for which an owner may leave a database out of its heartbeats: three heartbeats.
+const DENIAL_US: u64 = 450_000;
+/// Interval at which a database without an owner is looked at.
+const RECHECK_US: u64 = 500_000;
+/// Time for which an ownership change is passed on.
+const PASS_ON_US: u64 = 3_000_000;
+
+/// What to do about a database that this host does not own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    /// Look again at a time, or when something is heard.
+    Wait(Option<u64>),
+    /// Take over with the reserved epoch.
+    TakeOver(u32),
+    /// Read the ownership record and claim the database if the record allows it.
+    ReadRecord,
+}
+
+pub(crate) fn run(tables: &mut Tables) {
+    for (database, epoch) in core::mem::take(&mut tables.inputs.superseded) {
+        learn(tables, database, None, epoch);
+    }
+    for database in tables.deadlines.route.take_due(tables.now_us) {
+        match assess(tables, database) {
+            Step::Wait(None) => {}
+            Step::Wait(Some(due_us)) => tables.deadlines.route.set(database, due_us),
+            Step::TakeOver(epoch) => take_over(tables, database, epoch),
+            Step::ReadRecord => {
+                let route = tables.routes.get_mut(&database).expect("assessed just now");
+                route.is_record_busy = true;
+                tables.record_queue.push_back(StoreOperation::GetOwner { database });
+                tables.deadlines.record.set((), tables.now_us);
+            }
+        }
+    }
+}
+
+fn assess(tables: &mut Tables, database: DatabaseId) -> Step {
+    let now_us = tables.now_us;
+    if !tables.is_settled() {
+        return Step::Wait(Some(tables.settled_at_us()));
+    }
+    let host = tables.config.host;
+    let Some(route) = tables.routes.get_mut(&database) else { return Step::Wait(None) };
+    if tables.draining || tables.owned.contains_key(&database) {
+        return Step::Wait(None);
+    }
+    if let Some(owner) = route.owner
+        && owner != host
+        && !tables.hosts.is_suspected(owner)
+    {
+        let Some(denied_since_us) = route.denied_since_us else {
+            route.unowned_since_us = None;
+            return Step::Wait(None);
+        };
+        if now_us < denied_since_us + DENIAL_US {
+            return Step::Wait(Some(denied_since_us + DENIAL_US));
+        }
+    }
+    let since_us = *route.unowned_since_us.get_or_insert(now_us);
+    if let Some(reservation) = route.reservation
+        && route.owner == Some(reservation.from)
+        && route.epoch == reservation.from_epoch
+    {
+        return Step::TakeOver(reservation.epoch);
+    }
+    if route.is_record_busy {
+        return Step::Wait(None);
+    }
+    let claim_at_us = since_us + claim_delay_us(tables, database);
+    if now_us >= claim_at_us {
+        return Step::ReadRecord;
+    }
+    Step::Wait(Some(claim_at_us.min(now_us + RECHECK_US)))
+}
+
+/// Time that a database must have been without an owner before this host claims it.
+fn claim_delay_us(tables: &Tables, database: DatabaseId) -> u64 {
+    let host = tables.config.host;
+    let route = &tables.routes[&database];
+    let order_us = tables.hosts.rank(database.as_u32(), host).min(CLAIM_STEPS) * CLAIM_STEP_US;
+    let loss_us = if route.epoch == 0 { 0 } else { CLAIM_DELAY_US };
+    let standby_us = match route.standby {
+        Some(standby) if tables.hosts.is_eligible(standby) => STANDBY_DELAY_US,
+        _ => 0,
+    };
+    order_us + loss_us + standby_us
+}
+
+/// Whether a database whose record has just been read may be claimed.
+pub(crate) fn may_claim(tables: &mut Tables, database: DatabaseId) -> bool {
+    assess(tables, database) == Step::ReadRecord
+}
+
+/// Takes over with the reserved epoch, without the key-value service. The record is written later.
+pub(crate) fn take_over(tables: &mut Tables, database: DatabaseId, epoch: u32) {
+    tables.counters.takeovers += 1;
+    own(tables, database, epoch);
+}
+
+/// Makes this host the owner of a database.
+pub(crate) fn own(tables: &mut Tables, database: DatabaseId, epoch: u32) {
+    let now_us = tables.now_us;
+    let Some(entry) = tables.configuration.current.database(database) else { return };
+    let instance_count = entry.instances.len();
+    let host = tables.config.host;
+    set_owner(tables, database, Some(host), epoch);
+    let mut owned = OwnedDatabase::new(epoch, instance_count, now_us);
+    owned.last_primary = tables.routes[&database].primary_index;
+    tables.owned.insert(database, owned);
+    tables.deadlines.owned.set(database, now_us);
+    // The others learn of it at once.
+    tables.deadlines.heartbeat.set((), now_us);
+    tables.view_changed = true;
+    tables.log(StateChange::OwnershipTaken { database, epoch });
+}
+
+/// Gives up what this host holds of a database.
+pub(crate) fn release(tables: &mut Tables, database: DatabaseId) {
+    let Some(owned) = tables.owned.remove(&database) else { return };
+    tables.deadlines.owned.cancel(database);
+    for index in owned.indices() {
+        tables.deadlines.instance.cancel(crate::InstanceId { database, index });
+    }
+    tables.view_changed = true;
+}
+
+/// Removes a database that the configuration has dropped.
+pub(crate) fn forget(tables: &mut Tables, database: DatabaseId) {
+    set_owner(tables, database, None, 0);
+    tables.routes.remove(&database);
+    tables.deadlines.route.cancel(database);
+}
+
+/// Notes the owner of an epoch, or that the epoch is in use. Only a higher epoch, or the owner of an
+/// epoch that had none, changes anything. An owner with a lower epoch steps down.
+pub(crate) fn learn(
+    tables: &mut Tables,
+    database: DatabaseId,
+    owner: Option<HostId>,
+    epoch: u32,
+) -> bool {
+    // An earlier process of this host is gone.
+    let owner = owner.filter(|&owner| owner != tables.config.host);
+    let Some(route) = tables.routes.get(&database) else { return false };
+    let names_owner = epoch == route.epoch && route.owner.is_none() && owner.is_some();
+    if epoch <= route.epoch && !names_owner {
+        return false;
+    }
+    set_owner(tables, database, owner, epoch);
+    if tables.owned.contains_key(&database) {
+        release(tables, database);
+        tables.counters.step_downs += 1;
+        tables.log(StateChange::OwnershipLost { database, epoch });
+    }
+    if let Some(owner) = owner {
+        tables.updates.retain(|(update, _)| update.database != database);
+        let update = OwnershipUpdate { database, owner, epoch };
+        tables.updates.push_back((update, tables.now_us + PASS_ON_US));
+    }
+    tables.deadlines.route.set(database, tables.now_us);
+    true
+}
+
+/// Notes that the heartbeat of the owner does not list the database.
+pub(crate) fn note_denied(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let Some(route) = tables.routes.get_mut(&database) else { return };
+    if route.denied_since_us.is_none() {
+        route.denied_since_us = Some(now_us);
+        tables.deadlines.route.set(database, now_us + DENIAL_US);
+    }
+}
+
+fn set_owner(tables: &mut Tables, database: DatabaseId, owner: Option<HostId>, epoch: u32) {
+    let now_us = tables.now_us;
+    let Some(route) = tables.routes.get_mut(&database) else { return };
+    let previous = route.owner;
+    let unowned_since_us = owner.is_none().then_some(now_us);
+    let is_record_busy = route.is_record_busy;
+    let (proposed, primary_index) = (route.proposed, route.primary_index);
+    *route = Route {
+        owner,
+        epoch,
+        unowned_since_us,
+        is_record_busy,
+        proposed,
+        primary_index,
+        ..Route::new()
+    };
+    tables.view_changed = true;
+    if let Some(previous) = previous
+        && let Some(databases) = tables.routes_by_owner.get_mut(&previous)
+    {
+        databases.remove(&database);
+    }
+    if let Some(owner) = owner {
+        tables.routes_by_owner.entry(owner).or_default().insert(database);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/planned_promotion.rs
@@ -0,0 +1,136 @@
+//! Moves a primary on purpose: on an operator's request, or away from a leaving host.
+
+use crate::control::StateChange;
+use crate::control::tables::{OwnedDatabase, Phase, Tables, Transfer};
+use crate::{DatabaseId, InstanceId};
+
+/// Time that the wanted instance gets to reach the primary's position once nothing runs any more.
+const CATCH_UP_US: u64 = 5_000_000;
+/// Delay before the primary on a leaving host is moved again after an attempt was given up.
+const EVACUATION_RETRY_US: u64 = 30_000_000;
+/// Delay before an instance is looked for again that can replace the primary on a leaving host.
+const EVACUATION_RECHECK_US: u64 = 1_000_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    for (database, epoch) in core::mem::take(&mut tables.inputs.quiescent) {
+        note_quiescent(tables, database, epoch);
+    }
+    for (database, wanted) in core::mem::take(&mut tables.inputs.promotion_requests) {
+        begin(tables, database, wanted);
+    }
+    for database in tables.due_owned.clone() {
+        evacuate(tables, database);
+        advance(tables, database);
+    }
+}
+
+fn note_quiescent(tables: &mut Tables, database: DatabaseId, epoch: u32) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database).filter(|o| o.epoch == epoch) else { return };
+    match &mut owned.transfer {
+        Some(Transfer::Promotion { quiescent_at_us, limit_us, .. }) => {
+            if quiescent_at_us.is_none() {
+                *quiescent_at_us = Some(now_us);
+                *limit_us = now_us + CATCH_UP_US;
+            }
+        }
+        Some(Transfer::Handover { quiescent, .. }) => *quiescent = true,
+        None => return,
+    }
+    tables.wake_owned(database);
+    let Some(owned) = tables.owned.get(&database) else { return };
+    for index in owned.indices() {
+        tables.deadlines.instance.set_earlier(InstanceId { database, index }, now_us);
+    }
+}
+
+fn begin(tables: &mut Tables, database: DatabaseId, wanted: u8) {
+    let limit_us = tables.now_us + tables.config.handover_limit_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let is_known = usize::from(wanted) < owned.instances.len();
+    if !is_known || owned.transfer.is_some() || owned.primary().is_none_or(|p| p == wanted) {
+        return;
+    }
+    owned.transfer = Some(Transfer::Promotion { wanted, limit_us, quiescent_at_us: None });
+    tables.view_changed = true;
+    tables.wake_owned(database);
+    tables.log(StateChange::TransferStarted { database, change: "promotion" });
+}
+
+/// Starts to move a primary away from a leaving host.
+fn evacuate(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let leaving = tables.leaving_indices(database);
+    let is_draining = tables.draining;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let is_needed = owned.primary().is_some_and(|primary| leaving.contains(&primary));
+    if !is_needed || owned.transfer.is_some() || is_draining {
+        return;
+    }
+    if now_us < owned.next_evacuation_us {
+        tables.deadlines.owned.set_earlier(database, owned.next_evacuation_us);
+        return;
+    }
+    match successor(owned, &leaving) {
+        Some(wanted) => begin(tables, database, wanted),
+        None => owned.next_evacuation_us = now_us + EVACUATION_RECHECK_US,
+    }
+}
+
+/// The most advanced replica that is not on a leaving host.
+fn successor(owned: &OwnedDatabase, leaving: &[u8]) -> Option<u8> {
+    let primary = owned.primary()?;
+    owned
+        .indices()
+        .zip(&owned.instances)
+        .filter(|&(index, state)| index != primary && !leaving.contains(&index) && state.answers())
+        .filter(|(_, state)| state.following_since_us.is_some())
+        .max_by_key(|(index, state)| {
+            (state.report.map(|report| report.position), core::cmp::Reverse(*index))
+        })
+        .map(|(index, _)| index)
+}
+
+/// Goes on with a planned promotion: waits until nothing runs, then until the wanted instance has
+/// the primary's position, then fences.
+fn advance(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let Some(Transfer::Promotion { wanted, limit_us, quiescent_at_us }) = owned.transfer else {
+        return;
+    };
+    let Phase::Open { primary } = owned.phase else { return };
+    let Some(quiescent_at_us) = quiescent_at_us else {
+        if now_us < limit_us {
+            tables.deadlines.owned.set_earlier(database, limit_us);
+        } else {
+            // Transactions that are still open at the limit are rolled back by the promotion.
+            note_quiescent(tables, database, tables.owned[&database].epoch);
+        }
+        return;
+    };
+    if has_caught_up(owned, wanted, primary, quiescent_at_us) {
+        owned.wanted = Some(wanted);
+        owned.begin_next_term(owned.term, now_us);
+        tables.view_changed = true;
+        tables.wake_owned(database);
+    } else if now_us < limit_us {
+        tables.deadlines.owned.set_earlier(database, limit_us);
+    } else {
+        owned.transfer = None;
+        owned.next_evacuation_us = now_us + EVACUATION_RETRY_US;
+        tables.view_changed = true;
+        let reason = "the instance did not reach the primary's position";
+        tables.log(StateChange::PromotionAbandoned { database, reason });
+    }
+}
+
+/// Whether reports of calls sent since nothing runs any more show both at the same position.
+fn has_caught_up(owned: &OwnedDatabase, wanted: u8, primary: u8, since_us: u64) -> bool {
+    let position = |index: u8| {
+        let state = &owned.instances[usize::from(index)];
+        let is_recent = state.answers() && state.report_sent_us >= since_us;
+        state.report.filter(|_| is_recent).map(|report| report.position)
+    };
+    position(primary).is_some_and(|primary| position(wanted) >= Some(primary))
+}
--- /dev/null
+++ b/crates/core/src/control/systems/record_answers.rs
@@ -0,0 +1,163 @@
+//! Takes answers to calls for ownership records and decides what follows from a record.
+
+use super::ownership;
+use crate::DatabaseId;
+use crate::control::tables::{Standby, Tables};
+use crate::control::{OwnerRecord, StoreAnswer, StoreOperation};
+
+pub(crate) fn run(tables: &mut Tables) {
+    for (operation, answer) in core::mem::take(&mut tables.inputs.record_answers) {
+        tables.record_calls -= 1;
+        tables.deadlines.record.set((), tables.now_us);
+        match answer {
+            StoreAnswer::Failed => {
+                tables.record_loop.note_failure(tables.now_us, &mut tables.rng);
+            }
+            _ => tables.record_loop.note_success(),
+        }
+        take(tables, operation, answer);
+    }
+}
+
+/// A failed read is repeated; a failed or refused write is followed by a read, which tells what came
+/// of it.
+fn take(tables: &mut Tables, operation: StoreOperation, answer: StoreAnswer) {
+    let (StoreOperation::GetOwner { database } | StoreOperation::SwapOwner { database, .. }) =
+        operation
+    else {
+        return;
+    };
+    let Some(route) = tables.routes.get_mut(&database) else { return };
+    route.is_record_busy = false;
+    match (operation, answer) {
+        (StoreOperation::GetOwner { .. }, StoreAnswer::Owner { index, record }) => {
+            take_record(tables, database, index, record);
+        }
+        (StoreOperation::SwapOwner { record, .. }, StoreAnswer::Swapped) => {
+            adopt(tables, database, record);
+        }
+        (StoreOperation::SwapOwner { .. }, _) => read_again(tables, database),
+        _ => {}
+    }
+    wake(tables, database);
+}
+
+fn wake(tables: &mut Tables, database: DatabaseId) {
+    let now_us = tables.now_us;
+    if tables.owned.contains_key(&database) {
+        tables.deadlines.owned.set(database, now_us);
+    } else {
+        tables.deadlines.route.set_earlier(database, now_us);
+    }
+}
+
+fn read_again(tables: &mut Tables, database: DatabaseId) {
+    let Some(route) = tables.routes.get_mut(&database) else { return };
+    route.is_record_busy = true;
+    tables.record_queue.push_back(StoreOperation::GetOwner { database });
+}
+
+fn take_record(tables: &mut Tables, database: DatabaseId, index: u64, record: Option<OwnerRecord>) {
+    let proposed = tables.routes[&database].proposed;
+    if let Some(record) = record
+        && proposed == Some(record)
+    {
+        adopt(tables, database, record);
+        return;
+    }
+    let proposal = if tables.owned.contains_key(&database) {
+        renewal(tables, database, record)
+    } else {
+        claim(tables, database, record)
+    };
+    let Some(proposal) = proposal else { return };
+    let route = tables.routes.get_mut(&database).expect("looked up above");
+    route.proposed = Some(proposal);
+    route.is_record_busy = true;
+    let operation = StoreOperation::SwapOwner { database, index, record: proposal };
+    // The index grows stale while the write waits, so it goes before the reads.
+    tables.record_queue.push_front(operation);
+}
+
+/// Highest epoch that is in use or reserved.
+fn highest_epoch(tables: &Tables, database: DatabaseId, record: Option<OwnerRecord>) -> u32 {
+    let recorded = record.map_or(0, |record| record.owner_epoch.max(record.standby_epoch));
+    recorded.max(tables.routes[&database].epoch)
+}
+
+fn propose(tables: &Tables, database: DatabaseId, owner_epoch: u32, highest: u32) -> OwnerRecord {
+    OwnerRecord {
+        owner: tables.config.host,
+        owner_epoch,
+        standby: tables.hosts.first_eligible(database),
+        standby_epoch: highest.max(owner_epoch) + 1,
+    }
+}
+
+/// The record that this host wants in place of the present one of a database that it owns.
+fn renewal(
+    tables: &mut Tables,
+    database: DatabaseId,
+    record: Option<OwnerRecord>,
+) -> Option<OwnerRecord> {
+    let host = tables.config.host;
+    if let Some(record) = record
+        && record.owner != host
+    {
+        ownership::learn(tables, database, Some(record.owner), record.owner_epoch);
+    }
+    let highest = highest_epoch(tables, database, record);
+    let owned = tables.owned.get_mut(&database)?;
+    // A record with this owner and a higher epoch is an earlier attempt to claim a new epoch.
+    let is_ahead = record.is_some_and(|r| r.owner == host && r.owner_epoch > owned.epoch);
+    owned.wants_epoch |= is_ahead;
+    let owner_epoch = if owned.wants_epoch { highest + 1 } else { owned.epoch };
+    Some(propose(tables, database, owner_epoch, highest))
+}
+
+/// The record with which this host claims a database, if the record that was read allows it.
+fn claim(
+    tables: &mut Tables,
+    database: DatabaseId,
+    record: Option<OwnerRecord>,
+) -> Option<OwnerRecord> {
+    if let Some(record) = record {
+        ownership::learn(tables, database, Some(record.owner), record.owner_epoch);
+        let route = tables.routes.get_mut(&database)?;
+        if route.epoch == record.owner_epoch {
+            route.standby = record.standby;
+        }
+    }
+    if !ownership::may_claim(tables, database) {
+        return None;
+    }
+    let highest = highest_epoch(tables, database, record);
+    Some(propose(tables, database, highest + 1, highest))
+}
+
+/// Takes a record into force that this host has written.
+fn adopt(tables: &mut Tables, database: DatabaseId, record: OwnerRecord) {
+    tables.routes.get_mut(&database).expect("checked by the caller").proposed = None;
+    let epoch = record.owner_epoch;
+    let owned_epoch = tables.owned.get(&database).map(|owned| owned.epoch);
+    if owned_epoch.is_none_or(|present| present < epoch) {
+        // Another host has used a higher epoch in the meantime.
+        if tables.routes[&database].epoch >= epoch {
+            return;
+        }
+        ownership::release(tables, database);
+        tables.counters.claims += 1;
+        ownership::own(tables, database, epoch);
+    }
+    let standby = record.standby.and_then(|host| {
+        let incarnation = tables.hosts.get(host)?.incarnation;
+        Some(Standby { host, epoch: record.standby_epoch, incarnation })
+    });
+    if let Some(owned) = tables.owned.get_mut(&database) {
+        owned.record_written = true;
+        owned.standby = standby;
+        owned.replace_standby_at_us = None;
+        tables.routes.get_mut(&database).expect("checked by the caller").standby = record.standby;
+        tables.deadlines.heartbeat.set((), tables.now_us);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/systems/record_calls.rs
@@ -0,0 +1,39 @@
+//! Sends the calls for ownership records, within the budget of their loop.
+
+use crate::control::StoreOperation;
+use crate::control::tables::Tables;
+
+/// Calls in flight while the key-value service answers. One goes out at a time while it does not.
+const CALLS_IN_FLIGHT: usize = 8;
+const CALL_LIMIT_US: u64 = 2_000_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    if tables.deadlines.record.take_due(tables.now_us).is_empty() {
+        return;
+    }
+    loop {
+        let limit = if tables.record_loop.is_failing() { 1 } else { CALLS_IN_FLIGHT };
+        if tables.record_queue.is_empty() || tables.record_calls >= limit {
+            return;
+        }
+        if let Err(due_us) = tables.record_loop.try_take(tables.now_us) {
+            tables.deadlines.record.set((), due_us);
+            return;
+        }
+        send_next(tables);
+    }
+}
+
+fn send_next(tables: &mut Tables) {
+    let Some(operation) = tables.record_queue.pop_front() else { return };
+    let (StoreOperation::GetOwner { database } | StoreOperation::SwapOwner { database, .. }) =
+        operation
+    else {
+        return;
+    };
+    if !tables.routes.contains_key(&database) {
+        return;
+    }
+    tables.call_store(operation, CALL_LIMIT_US);
+    tables.record_calls += 1;
+}
--- /dev/null
+++ b/crates/core/src/control/systems/resolving.rs
@@ -0,0 +1,47 @@
+//! Finds out what came of a promotion call whose answer was lost.
+
+use super::fencing;
+use crate::control::GroupOperation;
+use crate::control::tables::{Phase, Tables};
+use crate::{DatabaseId, InstanceId};
+
+/// Time after which an instance that does not answer is given up.
+const GIVE_UP_US: u64 = 600_000;
+/// Refused or broken connections after which an instance is given up.
+const GIVE_UP_LOSSES: u32 = 3;
+const PROMOTE_LIMIT_US: u64 = 500_000;
+
+pub(crate) fn run(tables: &mut Tables) {
+    for database in tables.due_owned.clone() {
+        let Some(owned) = tables.owned.get(&database) else { continue };
+        if let Phase::Resolving { index, since_us } = owned.phase {
+            resolve(tables, database, index, since_us);
+        }
+    }
+}
+
+fn resolve(tables: &mut Tables, database: DatabaseId, index: u8, since_us: u64) {
+    let now_us = tables.now_us;
+    let instance = InstanceId { database, index };
+    let Some(owned) = tables.owned.get_mut(&database) else { return };
+    let state = &owned.instances[usize::from(index)];
+    if state.report_sent_us >= since_us && state.answers() {
+        if state.is_primary_of(owned.term) {
+            fencing::open(tables, instance);
+            return;
+        }
+        // The call did not arrive, or has not yet. A second promotion under the same term on the
+        // same instance changes nothing.
+        owned.phase = Phase::Promoting { index };
+        let operation = GroupOperation::Promote(owned.term);
+        tables.call_group(instance, operation, PROMOTE_LIMIT_US);
+        return;
+    }
+    let is_unanswered = now_us >= since_us + GIVE_UP_US;
+    if is_unanswered || state.connection_losses >= GIVE_UP_LOSSES {
+        owned.excluded = Some(index);
+        owned.begin_next_term(owned.term, now_us);
+        return;
+    }
+    tables.deadlines.owned.set_earlier(database, since_us + GIVE_UP_US);
+}
--- /dev/null
+++ b/crates/core/src/control/systems/suspicion.rs
@@ -0,0 +1,24 @@
+//! Suspects hosts that have not been heard for long enough.
+
+use super::heartbeat_intake::wake_dependents;
+use crate::control::StateChange;
+use crate::control::tables::{HostState, Tables};
+
+pub(crate) fn run(tables: &mut Tables) {
+    let now_us = tables.now_us;
+    for host in tables.deadlines.suspicion.take_due(now_us) {
+        let Some(row) = tables.hosts.get_mut(host) else { continue };
+        let suspect_at_us = row.suspect_at_us();
+        if suspect_at_us > now_us {
+            tables.deadlines.suspicion.set(host, suspect_at_us);
+            continue;
+        }
+        row.state = HostState::Suspected;
+        tables.counters.suspicions += 1;
+        tables.log(StateChange::HostSuspected { host });
+        wake_dependents(tables);
+        for &database in tables.routes_by_owner.get(&host).into_iter().flatten() {
+            tables.deadlines.route.set(database, now_us);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/tables.rs
@@ -0,0 +1,250 @@
+//! Tables of the control machine.
+
+mod calls;
+mod configuration;
+mod due_queue;
+mod hosts;
+mod instance_state;
+mod owned;
+mod route;
+mod store_loop;
+
+pub(crate) use calls::{GroupCall, StoreCall};
+pub(crate) use configuration::{ConfigurationTable, Document};
+pub(crate) use due_queue::DueQueue;
+pub(crate) use hosts::{
+    FAR_SUSPICION_US, Host, HostState, HostTable, RING_SUCCESSORS, SMALL_FLEET_PEERS, SUSPICION_US,
+};
+pub(crate) use instance_state::InstanceState;
+pub(crate) use owned::{OwnedDatabase, Phase, Standby, Transfer};
+pub(crate) use route::{Reservation, Route};
+pub(crate) use store_loop::StoreLoop;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::inputs::Inputs;
+use super::{
+    Action, ControlConfig, ControlCounters, GroupOperation, HostEntry, StateChange, StoreOperation,
+};
+use crate::arena::Arena;
+use crate::message::OwnershipUpdate;
+use crate::{DatabaseId, GroupCallKey, HostId, InstanceId, StoreCallKey, View};
+
+/// Deadlines of the entities of each table.
+#[derive(Debug)]
+pub(crate) struct Deadlines {
+    pub(crate) heartbeat: DueQueue<()>,
+    pub(crate) suspicion: DueQueue<HostId>,
+    pub(crate) configuration_store: DueQueue<()>,
+    pub(crate) configuration_fetch: DueQueue<()>,
+    pub(crate) route: DueQueue<DatabaseId>,
+    pub(crate) record: DueQueue<()>,
+    pub(crate) owned: DueQueue<DatabaseId>,
+    pub(crate) instance: DueQueue<InstanceId>,
+    pub(crate) store_call: DueQueue<StoreCallKey>,
+    pub(crate) group_call: DueQueue<GroupCallKey>,
+}
+
+/// Everything that the systems of the control machine read and write.
+#[derive(Debug)]
+pub(crate) struct Tables {
+    pub(crate) config: ControlConfig,
+    /// Time of the present tick.
+    pub(crate) now_us: u64,
+    /// Time of the previous tick.
+    pub(crate) last_tick_us: u64,
+    /// Time of the first tick.
+    pub(crate) started_at_us: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) inputs: Inputs,
+    pub(crate) deadlines: Deadlines,
+    pub(crate) hosts: HostTable,
+    pub(crate) configuration: ConfigurationTable,
+    pub(crate) routes: BTreeMap<DatabaseId, Route>,
+    /// Databases by the owner in their route.
+    pub(crate) routes_by_owner: BTreeMap<HostId, BTreeSet<DatabaseId>>,
+    pub(crate) owned: BTreeMap<DatabaseId, OwnedDatabase>,
+    /// Owned databases that are due in this tick.
+    pub(crate) due_owned: Vec<DatabaseId>,
+    /// Calls for ownership records that wait for their turn.
+    pub(crate) record_queue: VecDeque<StoreOperation>,
+    pub(crate) record_loop: StoreLoop,
+    pub(crate) record_calls: usize,
+    pub(crate) store_calls: Arena<StoreCallKey, StoreCall>,
+    pub(crate) group_calls: Arena<GroupCallKey, GroupCall>,
+    /// Ownership changes that heartbeats pass on, each with the time until which they do.
+    pub(crate) updates: VecDeque<(OwnershipUpdate, u64)>,
+    pub(crate) heartbeat_sequence: u64,
+    pub(crate) host_list: Vec<HostEntry>,
+    pub(crate) leaving: Vec<InstanceId>,
+    /// Whether `leaving` must be computed again.
+    pub(crate) leaving_stale: bool,
+    pub(crate) store_available: bool,
+    pub(crate) draining: bool,
+    pub(crate) drain_finished: bool,
+    /// Whether the content of the view may have changed.
+    pub(crate) view_changed: bool,
+    pub(crate) view: Arc<View>,
+    pub(crate) counters: ControlCounters,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Tables {
+    pub(crate) fn new(config: ControlConfig, now_us: u64) -> Self {
+        let mut tables = Self {
+            now_us,
+            last_tick_us: now_us,
+            started_at_us: now_us,
+            rng: SmallRng::seed_from_u64(config.seed),
+            inputs: Inputs::default(),
+            deadlines: Deadlines::new(),
+            hosts: HostTable::new(config.host, &config.peers, now_us),
+            configuration: ConfigurationTable::new(now_us),
+            routes: BTreeMap::new(),
+            routes_by_owner: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            due_owned: Vec::new(),
+            record_queue: VecDeque::new(),
+            record_loop: StoreLoop::new(now_us),
+            record_calls: 0,
+            store_calls: Arena::new(),
+            group_calls: Arena::new(),
+            updates: VecDeque::new(),
+            heartbeat_sequence: 0,
+            host_list: Vec::new(),
+            leaving: Vec::new(),
+            leaving_stale: false,
+            store_available: true,
+            draining: false,
+            drain_finished: false,
+            view_changed: true,
+            view: Arc::new(View::default()),
+            counters: ControlCounters::default(),
+            actions: Vec::new(),
+            config,
+        };
+        tables.deadlines.heartbeat.set((), now_us);
+        tables.deadlines.configuration_store.set((), now_us);
+        for (peer, row) in tables.hosts.iter() {
+            tables.deadlines.suspicion.set(peer, row.suspect_at_us());
+        }
+        tables
+    }
+
+    pub(crate) fn log(&mut self, change: StateChange) {
+        self.actions.push(Action::Log(change));
+    }
+
+    /// A time between four fifths and six fifths of the given one.
+    pub(crate) fn jittered(&mut self, interval_us: u64) -> u64 {
+        self.rng.random_range(interval_us * 4 / 5..=interval_us * 6 / 5)
+    }
+
+    /// Calls the key-value service. The call counts as failed a little after its deadline, in case
+    /// the I/O layer does not report it.
+    pub(crate) fn call_store(&mut self, operation: StoreOperation, limit_us: u64) -> StoreCallKey {
+        const REPORT_GRACE_US: u64 = 1_000_000;
+        let call = self.store_calls.insert(StoreCall { operation: operation.clone() });
+        let deadline_us = self.now_us + limit_us;
+        self.deadlines.store_call.set(call, deadline_us + REPORT_GRACE_US);
+        self.counters.store_calls += 1;
+        self.actions.push(Action::CallStore { call, operation, deadline_us });
+        call
+    }
+
+    /// Calls a function of a database instance. The call counts as unanswered at its deadline.
+    pub(crate) fn call_group(
+        &mut self,
+        instance: InstanceId,
+        operation: GroupOperation,
+        limit_us: u64,
+    ) -> GroupCallKey {
+        let sent_at_us = self.now_us;
+        let call = self.group_calls.insert(GroupCall { instance, operation, sent_at_us });
+        let deadline_us = sent_at_us + limit_us;
+        self.deadlines.group_call.set(call, deadline_us);
+        self.counters.group_calls += 1;
+        self.actions.push(Action::CallGroup { call, instance, operation, deadline_us });
+        call
+    }
+
+    /// Whether this host has run long enough to judge the others, and for a host that took a
+    /// reservation from its previous process to have learned of the restart.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.now_us >= self.settled_at_us()
+    }
+
+    /// When [`Self::is_settled`] becomes true.
+    pub(crate) fn settled_at_us(&self) -> u64 {
+        const MARGIN_US: u64 = 100_000;
+        self.started_at_us + SUSPICION_US + MARGIN_US
+    }
+
+    /// State of an instance of an owned database.
+    pub(crate) fn instance_mut(&mut self, instance: InstanceId) -> Option<&mut InstanceState> {
+        let owned = self.owned.get_mut(&instance.database)?;
+        owned.instances.get_mut(usize::from(instance.index))
+    }
+
+    /// Indices of the instances of a database that are on leaving hosts.
+    pub(crate) fn leaving_indices(&self, database: DatabaseId) -> Vec<u8> {
+        let start = self.leaving.partition_point(|instance| instance.database < database);
+        let own = self.leaving[start..].iter().take_while(|i| i.database == database);
+        own.map(|instance| instance.index).collect()
+    }
+
+    /// Has an owned database looked at in this tick, also by systems that have not run yet.
+    pub(crate) fn wake_owned(&mut self, database: DatabaseId) {
+        if !self.due_owned.contains(&database) {
+            self.due_owned.push(database);
+        }
+    }
+
+    /// Notes whether the key-value service answers.
+    pub(crate) fn set_store_available(&mut self, available: bool) {
+        if self.store_available != available {
+            self.store_available = available;
+            self.log(StateChange::StoreAvailability { available });
+        }
+    }
+}
+
+impl Deadlines {
+    fn new() -> Self {
+        Self {
+            heartbeat: DueQueue::new(),
+            suspicion: DueQueue::new(),
+            configuration_store: DueQueue::new(),
+            configuration_fetch: DueQueue::new(),
+            route: DueQueue::new(),
+            record: DueQueue::new(),
+            owned: DueQueue::new(),
+            instance: DueQueue::new(),
+            store_call: DueQueue::new(),
+            group_call: DueQueue::new(),
+        }
+    }
+
+    /// The earliest deadline of all tables.
+    pub(crate) fn next_us(&self) -> Option<u64> {
+        [
+            self.heartbeat.next_us(),
+            self.suspicion.next_us(),
+            self.configuration_store.next_us(),
+            self.configuration_fetch.next_us(),
+            self.route.next_us(),
+            self.record.next_us(),
+            self.owned.next_us(),
+            self.instance.next_us(),
+            self.store_call.next_us(),
+            self.group_call.next_us(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/tables/hosts.rs
@@ -0,0 +1,153 @@
+//! Table of peers.
+
+use std::collections::BTreeMap;
+
+use crate::{DatabaseId, HostId};
+
+/// Time without a heartbeat after which a host can be suspected.
+pub(crate) const SUSPICION_US: u64 = 600_000;
+/// Suspicion time of a host whose heartbeats do not come here regularly: with 6 receivers of each
+/// heartbeat, one of 500 hosts is heard or listed about every 2 s.
+pub(crate) const FAR_SUSPICION_US: u64 = 30_000_000;
+/// Number of peers up to which every heartbeat goes to all.
+pub(crate) const SMALL_FLEET_PEERS: usize = 8;
+/// Ring successors that get every heartbeat in a larger fleet.
+pub(crate) const RING_SUCCESSORS: usize = 4;
+/// Age up to which a heartbeat counts as recent, both for listing its sender as heard and for
+/// believing what it lists.
+pub(crate) const RECENT_US: u64 = 300_000;
+
+/// What is known of a peer's life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HostState {
+    /// Not heard yet, and not long enough to suspect it.
+    Unknown,
+    Alive,
+    Suspected,
+}
+
+/// A peer.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) state: HostState,
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
+    pub(crate) draining: bool,
+    pub(crate) configuration_version: u64,
+    /// When its last heartbeat arrived.
+    pub(crate) heard_at_us: Option<u64>,
+    /// Whether every heartbeat of the host comes here.
+    pub(crate) is_near: bool,
+    /// When it counts as not heard for the suspicion time, as far as its own heartbeats go.
+    pub(crate) silent_at_us: u64,
+    /// When a heartbeat of a third host last listed it as heard.
+    pub(crate) vouched_at_us: Option<u64>,
+}
+
+impl Host {
+    fn new(is_near: bool, now_us: u64) -> Self {
+        let suspicion_us = if is_near { SUSPICION_US } else { FAR_SUSPICION_US };
+        Self {
+            state: HostState::Unknown,
+            incarnation: 0,
+            sequence: 0,
+            draining: false,
+            configuration_version: 0,
+            heard_at_us: None,
+            is_near,
+            silent_at_us: now_us + suspicion_us,
+            vouched_at_us: None,
+        }
+    }
+
+    /// When the host becomes suspect if nothing more is heard of it.
+    pub(crate) fn suspect_at_us(&self) -> u64 {
+        let vouched_until_us = self.vouched_at_us.map_or(0, |at_us| at_us + RECENT_US);
+        self.silent_at_us.max(vouched_until_us)
+    }
+}
+
+/// All peers in the settings.
+#[derive(Debug, Default)]
+pub(crate) struct HostTable {
+    rows: BTreeMap<HostId, Host>,
+}
+
+impl HostTable {
+    pub(crate) fn new(host: HostId, peers: &[HostId], now_us: u64) -> Self {
+        let mut before: Vec<HostId> = peers.to_vec();
+        // Ring order, starting with the nearest predecessor of this host.
+        before.sort_by_key(|peer| host.0.wrapping_sub(peer.0));
+        let is_small = peers.len() <= SMALL_FLEET_PEERS;
+        let rows = before.iter().enumerate().map(|(distance, &peer)| {
+            (peer, Host::new(is_small || distance < RING_SUCCESSORS, now_us))
+        });
+        Self { rows: rows.collect() }
+    }
+
+    pub(crate) fn get(&self, host: HostId) -> Option<&Host> {
+        self.rows.get(&host)
+    }
+
+    pub(crate) fn get_mut(&mut self, host: HostId) -> Option<&mut Host> {
+        self.rows.get_mut(&host)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (HostId, &Host)> {
+        self.rows.iter().map(|(&host, row)| (host, row))
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (HostId, &mut Host)> {
+        self.rows.iter_mut().map(|(&host, row)| (host, row))
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub(crate) fn is_suspected(&self, host: HostId) -> bool {
+        self.rows.get(&host).is_none_or(|row| row.state == HostState::Suspected)
+    }
+
+    /// Whether the host can be given a database.
+    pub(crate) fn is_eligible(&self, host: HostId) -> bool {
+        self.rows.get(&host).is_some_and(|row| row.state == HostState::Alive && !row.draining)
+    }
+
+    /// Hosts heard directly within [`RECENT_US`].
+    pub(crate) fn heard(&self, now_us: u64) -> Vec<HostId> {
+        self.iter()
+            .filter(|(_, row)| row.heard_at_us.is_some_and(|at_us| at_us + RECENT_US >= now_us))
+            .map(|(host, _)| host)
+            .collect()
+    }
+
+    /// The eligible peer that comes first for a database in rendezvous order.
+    pub(crate) fn first_eligible(&self, database: DatabaseId) -> Option<HostId> {
+        self.iter()
+            .filter(|(_, row)| row.state == HostState::Alive && !row.draining)
+            .map(|(host, _)| host)
+            .max_by_key(|&host| rendezvous_weight(database.as_u32(), host))
+    }
+
+    /// Number of eligible peers that come before a host in the rendezvous order of a subject.
+    pub(crate) fn rank(&self, subject: u32, host: HostId) -> u64 {
+        let weight = rendezvous_weight(subject, host);
+        let before = self.iter().filter(|&(peer, row)| {
+            row.state == HostState::Alive
+                && !row.draining
+                && rendezvous_weight(subject, peer) > weight
+        });
+        before.count() as u64
+    }
+}
+
+/// Weight of a host for a subject in rendezvous hashing (the finaliser of SplitMix64). The host
+/// number breaks ties.
+fn rendezvous_weight(subject: u32, host: HostId) -> (u64, HostId) {
+    let mut hash =
+        (u64::from(subject) << 16 | u64::from(host.0)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ hash >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ hash >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (hash ^ hash >> 31, host)
+}
--- /dev/null
+++ b/crates/core/src/control/tables/owned.rs
@@ -0,0 +1,158 @@
+//! Databases that this host owns.
+
+use super::InstanceState;
+use crate::{HostId, Term};
+
+/// Progress of the takeover or promotion of a database.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// Waits until a majority of instances has accepted the term.
+    Fencing {
+        /// Since when no fencing has succeeded.
+        since_us: u64,
+        /// When a majority had accepted the term.
+        majority_at_us: Option<u64>,
+    },
+    /// Waits for the answer of the promotion call.
+    Promoting { index: u8 },
+    /// The promotion call's answer was lost; status calls sent since then tell what came of it.
+    Resolving { index: u8, since_us: u64 },
+    /// Open for work.
+    Open { primary: u8 },
+}
+
+/// A planned change under which a database admits no new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Transfer {
+    /// The primary moves to a wanted instance.
+    Promotion {
+        wanted: u8,
+        /// When the change goes on or is given up.
+        limit_us: u64,
+        /// When the traffic threads had nothing running any more.
+        quiescent_at_us: Option<u64>,
+    },
+    /// The database goes to its standby.
+    Handover { limit_us: u64, quiescent: bool, next_offer_us: u64 },
+}
+
+/// Standby that the written ownership record names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Standby {
+    pub(crate) host: HostId,
+    pub(crate) epoch: u32,
+    /// Incarnation of the standby's process when it was named. A restarted process has forgotten
+    /// whether it used the reserved epoch, so it is not the standby any more.
+    pub(crate) incarnation: u64,
+}
+
+/// A database that this host owns.
+#[derive(Debug)]
+pub(crate) struct OwnedDatabase {
+    pub(crate) epoch: u32,
+    pub(crate) term: Term,
+    pub(crate) phase: Phase,
+    /// Whether the ownership record shows this ownership.
+    pub(crate) record_written: bool,
+    pub(crate) standby: Option<Standby>,
+    /// When the standby is replaced because it is no longer alive.
+    pub(crate) replace_standby_at_us: Option<u64>,
+    /// Whether the terms of the epoch are used up, so that a new epoch must be claimed.
+    pub(crate) wants_epoch: bool,
+    pub(crate) instances: Vec<InstanceState>,
+    /// Last known primary; preferred on a tie.
+    pub(crate) last_primary: Option<u8>,
+    /// Instance that is not chosen as long as the others make a majority.
+    pub(crate) excluded: Option<u8>,
+    /// Instance that is chosen if it has the highest position.
+    pub(crate) wanted: Option<u8>,
+    pub(crate) transfer: Option<Transfer>,
+    /// Since when fewer than a majority of the instances answer.
+    pub(crate) minority_since_us: Option<u64>,
+    /// Whether a majority has answered at any time under this ownership.
+    pub(crate) had_majority: bool,
+    /// When the standby may be offered the database next for want of a majority.
+    pub(crate) next_offer_us: u64,
+    /// When a planned promotion away from a leaving host may be tried next.
+    pub(crate) next_evacuation_us: u64,
+}
+
+impl OwnedDatabase {
+    pub(crate) fn new(epoch: u32, instance_count: usize, now_us: u64) -> Self {
+        Self {
+            epoch,
+            term: Term::first_of_epoch(epoch),
+            phase: Phase::Fencing { since_us: now_us, majority_at_us: None },
+            record_written: false,
+            standby: None,
+            replace_standby_at_us: None,
+            wants_epoch: false,
+            instances: (0..instance_count).map(|_| InstanceState::default()).collect(),
+            last_primary: None,
+            excluded: None,
+            wanted: None,
+            transfer: None,
+            minority_since_us: None,
+            had_majority: false,
+            next_offer_us: 0,
+            next_evacuation_us: 0,
+        }
+    }
+
+    /// Number of instances that make a majority.
+    pub(crate) fn majority(&self) -> usize {
+        self.instances.len() / 2 + 1
+    }
+
+    /// Index of the primary while the database is open.
+    pub(crate) fn primary(&self) -> Option<u8> {
+        match self.phase {
+            Phase::Open { primary } => Some(primary),
+            _ => None,
+        }
+    }
+
+    /// Whether new work is admitted.
+    pub(crate) fn admits(&self) -> bool {
+        self.transfer.is_none()
+    }
+
+    /// Indices of all instances.
+    pub(crate) fn indices(&self) -> impl Iterator<Item = u8> + use<> {
+        (0..=u8::MAX).take(self.instances.len())
+    }
+
+    /// Starts a promotion under a term: whatever held under the previous one is forgotten.
+    pub(crate) fn begin_fencing(&mut self, term: Term, now_us: u64) {
+        let since_us = match self.phase {
+            Phase::Fencing { since_us, .. } => since_us,
+            _ => now_us,
+        };
+        if let Phase::Open { primary } = self.phase {
+            self.last_primary = Some(primary);
+        }
+        self.term = term;
+        self.phase = Phase::Fencing { since_us, majority_at_us: None };
+        for instance in &mut self.instances {
+            instance.forget_term(now_us);
+        }
+    }
+
+    /// Starts a promotion under the next term, or asks for a new epoch when the terms are used up.
+    pub(crate) fn begin_next_term(&mut self, above: Term, now_us: u64) {
+        let next = above.max(self.term).next_in_epoch();
+        self.wants_epoch = next.is_none();
+        self.begin_fencing(next.unwrap_or(self.term), now_us);
+    }
+
+    /// Starts over with another set of instances.
+    pub(crate) fn replace_instances(&mut self, count: usize, now_us: u64) {
+        self.begin_next_term(self.term, now_us);
+        self.instances = (0..count).map(|_| InstanceState::default()).collect();
+        self.last_primary = None;
+        self.excluded = None;
+        self.wanted = None;
+        self.transfer = None;
+        self.minority_since_us = None;
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/tables/store_loop.rs
@@ -0,0 +1,61 @@
+//! Rate limit and backoff of one loop towards the key-value service.
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+/// Calls that a loop may make at once after a quiet time.
+const BURST_CALLS: f64 = 20.0;
+/// Calls a second that a loop may make for long. The service handles a few thousand reads and
+/// several hundred writes a second for the whole fleet.
+const CALLS_PER_SECOND: f64 = 5.0;
+const FIRST_BACKOFF_US: u64 = 100_000;
+const LONGEST_BACKOFF_US: u64 = 10_000_000;
+
+/// Rate limit and backoff of one loop towards the key-value service.
+#[derive(Debug)]
+pub(crate) struct StoreLoop {
+    tokens: f64,
+    refilled_at_us: u64,
+    failures: u32,
+    not_before_us: u64,
+}
+
+impl StoreLoop {
+    pub(crate) fn new(now_us: u64) -> Self {
+        Self { tokens: BURST_CALLS, refilled_at_us: now_us, failures: 0, not_before_us: now_us }
+    }
+
+    /// Takes a token, or returns when to ask again.
+    pub(crate) fn try_take(&mut self, now_us: u64) -> Result<(), u64> {
+        if now_us < self.not_before_us {
+            return Err(self.not_before_us);
+        }
+        let elapsed_us = now_us.saturating_sub(self.refilled_at_us);
+        self.refilled_at_us = now_us;
+        self.tokens = (self.tokens + elapsed_us as f64 * CALLS_PER_SECOND / 1e6).min(BURST_CALLS);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_us = (1.0 - self.tokens) * 1e6 / CALLS_PER_SECOND;
+        Err(now_us + wait_us.ceil() as u64)
+    }
+
+    /// Notes a failure: the next call waits, and the saved tokens are lost so that the recovery of
+    /// the service is not met by a burst from every host.
+    pub(crate) fn note_failure(&mut self, now_us: u64, rng: &mut SmallRng) {
+        let longest_us = (FIRST_BACKOFF_US << self.failures.min(7)).min(LONGEST_BACKOFF_US);
+        self.failures += 1;
+        self.tokens = self.tokens.min(1.0);
+        self.not_before_us = now_us + rng.random_range(longest_us / 2..=longest_us);
+    }
+
+    pub(crate) fn note_success(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Whether the last call failed; calls then go out one at a time.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+}
--- a/crates/core/src/message/heartbeat.rs
+++ b/crates/core/src/message/heartbeat.rs
@@ -11,6 +11,12 @@
     pub database: DatabaseId,
     /// The sender's epoch as its owner.
     pub epoch: u32,
+    /// Standby named in the ownership record, once the record is known to be written.
+    pub standby: Option<HostId>,
+    /// Epoch reserved for the standby; 0 without a standby.
+    pub standby_epoch: u32,
+    /// Index of the primary, so that the next owner prefers it on a tie.
+    pub primary_index: Option<u8>,
 }
 
 /// A change of ownership that the sender has heard of lately.
--- /dev/null
+++ b/crates/core/tests/control_support/fake_store.rs
@@ -0,0 +1,78 @@
+//! A key-value service with outages, lost answers and watches.
+
+use std::collections::BTreeMap;
+
+use flamingorock_core::control::{OwnerRecord, StoreAnswer, StoreOperation};
+use flamingorock_core::{DatabaseId, HostId, StoreCallKey};
+
+#[derive(Default)]
+pub(crate) struct FakeStore {
+    pub(crate) down: bool,
+    /// Number of writes whose answer is lost after they have taken effect.
+    pub(crate) lose_swap_answers: u32,
+    pub(crate) records: BTreeMap<DatabaseId, (u64, OwnerRecord)>,
+    /// Index, version and text.
+    pub(crate) document: Option<(u64, u64, String)>,
+    last_index: u64,
+    /// Time and host of each call, answered or not.
+    pub(crate) calls: Vec<(u64, HostId)>,
+    pub(crate) watches: Vec<(HostId, StoreCallKey)>,
+}
+
+impl FakeStore {
+    pub(crate) fn apply(&mut self, version: u64, text: &str) -> Vec<(HostId, StoreCallKey)> {
+        self.last_index += 1;
+        self.document = Some((self.last_index, version, text.to_owned()));
+        core::mem::take(&mut self.watches)
+    }
+
+    /// Carries out a call; `None` if its answer is lost or comes later.
+    pub(crate) fn call(
+        &mut self,
+        now_us: u64,
+        host: HostId,
+        call: StoreCallKey,
+        operation: StoreOperation,
+    ) -> Option<StoreAnswer> {
+        self.calls.push((now_us, host));
+        if self.down {
+            return None;
+        }
+        match operation {
+            StoreOperation::GetConfiguration => Some(self.configuration()),
+            StoreOperation::WatchConfiguration { index } => {
+                if self.document.as_ref().map_or(0, |document| document.0) != index {
+                    return Some(self.configuration());
+                }
+                self.watches.push((host, call));
+                None
+            }
+            StoreOperation::GetOwner { database } => {
+                let entry = self.records.get(&database);
+                let (index, record) = entry.map_or((0, None), |&(i, record)| (i, Some(record)));
+                Some(StoreAnswer::Owner { index, record })
+            }
+            StoreOperation::SwapOwner { database, index, record } => {
+                let present = self.records.get(&database).map_or(0, |&(index, _)| index);
+                if present != index {
+                    return Some(StoreAnswer::Conflict);
+                }
+                self.last_index += 1;
+                self.records.insert(database, (self.last_index, record));
+                if self.lose_swap_answers > 0 {
+                    self.lose_swap_answers -= 1;
+                    return None;
+                }
+                Some(StoreAnswer::Swapped)
+            }
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> StoreAnswer {
+        let (index, document) = match &self.document {
+            Some((index, version, text)) => (*index, Some((*version, text.clone()))),
+            None => (0, None),
+        };
+        StoreAnswer::Configuration { index, document }
+    }
+}
