Split the control tables by type and judge hosts only after a delay ends

Change: one table type a file; the ownership record is read once, 0.5 s after the owner became unknown; the simulated hosts handle deadlines before events, one event a tick.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -29,7 +29,7 @@
     /// Runs every system once.
     pub fn tick(&mut self, now_us: u64) {
         if !self.started {
-            self.tables = Tables::new(self.tables.config.clone(), now_us);
+            self.tables = Tables::start(self.tables.config.clone(), now_us);
             self.started = true;
         }
         self.tables.now_us = now_us;
--- a/crates/core/src/control/systems/group_answers.rs
+++ b/crates/core/src/control/systems/group_answers.rs
@@ -7,9 +7,6 @@
 use crate::traffic::ProbeFailure;
 use crate::{DatabaseId, GroupCallKey, InstanceReport, Term};
 
-/// Delay before a failed fencing or follow call is repeated.
-const RETRY_US: u64 = 100_000;
-
 /// Answers that have arrived count before deadlines, which both can be due after a delay of this
 /// process.
 pub(crate) fn run(tables: &mut Tables) {
@@ -57,35 +54,28 @@
     let Some(state) = owned.instances.get_mut(usize::from(call.instance.index)) else {
         return false;
     };
-    let accepted = result.is_ok_and(|report| report.accepted);
-    let retry_at_us = if accepted { now_us } else { now_us + RETRY_US };
-    match call.operation {
-        GroupOperation::Status => {
-            if state.status_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            if let Err(failure) = result {
-                // What went unanswered during a delay of this process says nothing.
-                state.note_failure(call.sent_at_us.max(tables.resumed_at_us), failure);
-            }
-        }
+    let is_current = match call.operation {
+        GroupOperation::Status => state.status_call.take_if(|present| *present == key).is_some(),
         GroupOperation::AcceptTerm(_) => {
-            if state.fence_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            state.fence_failed = !accepted;
-            state.retry_at_us = retry_at_us;
-            state.fenced = result.ok().filter(|report| report.accepted).map(|r| r.position);
+            state.fence_call.take_if(|present| *present == key).is_some()
         }
         GroupOperation::Follow { .. } => {
-            if state.follow_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            state.retry_at_us = retry_at_us;
-            state.following_since_us = accepted.then_some(now_us);
+            state.follow_call.take_if(|present| *present == key).is_some()
+        }
+        GroupOperation::Promote(promoted) => promoted == term,
+    };
+    if !is_current {
+        return false;
+    }
+    let report = result.ok().filter(|report| report.accepted);
+    match (call.operation, result) {
+        // What went unanswered during a delay of this process says nothing.
+        (GroupOperation::Status, Err(failure)) => {
+            state.note_failure(call.sent_at_us.max(tables.resumed_at_us), failure);
         }
-        GroupOperation::Promote(promoted) if promoted != term => return false,
-        GroupOperation::Promote(_) => {}
+        (GroupOperation::AcceptTerm(_), _) => state.note_fenced(report, now_us),
+        (GroupOperation::Follow { .. }, _) => state.note_following(report.is_some(), now_us),
+        _ => {}
     }
     if let Ok(report) = result {
         state.note_report(report, call.sent_at_us, now_us);
--- a/crates/core/src/control/systems/ownership.rs
+++ b/crates/core/src/control/systems/ownership.rs
@@ -30,8 +30,10 @@
     Wait(Option<u64>),
     /// Take over with the reserved epoch.
     TakeOver(u32),
+    /// Read the ownership record to learn who owns the database.
+    LookUp,
     /// Read the ownership record and claim the database if the record allows it.
-    ReadRecord,
+    Claim,
 }
 
 pub(crate) fn run(tables: &mut Tables) {
@@ -43,9 +45,10 @@
             Step::Wait(None) => {}
             Step::Wait(Some(due_us)) => tables.deadlines.route.set(database, due_us),
             Step::TakeOver(epoch) => take_over(tables, database, epoch),
-            Step::ReadRecord => {
+            step @ (Step::LookUp | Step::Claim) => {
                 let route = tables.routes.get_mut(&database).expect("assessed just now");
                 route.is_record_busy = true;
+                route.is_looked_up |= step == Step::LookUp;
                 tables.record_queue.push_back(StoreOperation::GetOwner { database });
                 tables.deadlines.record.set((), tables.now_us);
             }
@@ -58,21 +61,17 @@
     if !tables.is_settled() {
         return Step::Wait(Some(tables.settled_at_us()));
     }
-    let host = tables.config.host;
     let Some(route) = tables.routes.get_mut(&database) else { return Step::Wait(None) };
     if tables.draining || tables.owned.contains_key(&database) {
         return Step::Wait(None);
     }
-    if let Some(owner) = route.owner
-        && owner != host
-        && !tables.hosts.is_suspected(owner)
-    {
-        let Some(denied_since_us) = route.denied_since_us else {
+    if let Some(owner) = route.owner.filter(|&owner| !tables.hosts.is_suspected(owner)) {
+        let denial_ends_us = route.denied_since_us.map(|since_us| since_us + DENIAL_US);
+        if denial_ends_us.is_none() {
             route.unowned_since_us = None;
-            return Step::Wait(None);
-        };
-        if now_us < denied_since_us + DENIAL_US {
-            return Step::Wait(Some(denied_since_us + DENIAL_US));
+        }
+        if owner != tables.config.host && denial_ends_us.is_none_or(|end_us| now_us < end_us) {
+            return Step::Wait(denial_ends_us);
         }
     }
     let since_us = *route.unowned_since_us.get_or_insert(now_us);
@@ -87,7 +86,12 @@
     }
     let claim_at_us = since_us + claim_delay_us(tables, database);
     if now_us >= claim_at_us {
-        return Step::ReadRecord;
+        return Step::Claim;
+    }
+    let route = &tables.routes[&database];
+    let is_unknown = route.owner.is_none() && route.epoch > 0 && !route.is_looked_up;
+    if is_unknown && now_us >= since_us + RECHECK_US {
+        return Step::LookUp;
     }
     Step::Wait(Some(claim_at_us.min(now_us + RECHECK_US)))
 }
@@ -110,7 +114,7 @@
 
 /// Whether a database whose record has just been read may be claimed.
 pub(crate) fn may_claim(tables: &mut Tables, database: DatabaseId) -> bool {
-    assess(tables, database) == Step::ReadRecord
+    assess(tables, database) == Step::Claim
 }
 
 /// Takes over with the reserved epoch, without the key-value service. The record is written later.
--- a/crates/core/src/control/systems/store_answers.rs
+++ b/crates/core/src/control/systems/store_answers.rs
@@ -15,14 +15,14 @@
 
 fn finish(tables: &mut Tables, call: StoreCallKey, answer: StoreAnswer) {
     // An answer that comes after its call was given up finds no call and is dropped.
-    let Some(ended) = tables.store_calls.remove(call) else { return };
+    let Some(operation) = tables.store_calls.remove(call) else { return };
     tables.deadlines.store_call.cancel(call);
     let failed = answer == StoreAnswer::Failed;
     if failed {
         tables.counters.store_failures += 1;
     }
     tables.set_store_available(!failed);
-    match ended.operation {
+    match operation {
         StoreOperation::GetConfiguration | StoreOperation::WatchConfiguration { .. } => {
             tables.inputs.configuration_answers.push(answer);
         }
--- a/crates/core/src/control/tables.rs
+++ b/crates/core/src/control/tables.rs
@@ -1,24 +1,36 @@
 //! Tables of the control machine.
 
-mod calls;
-mod configuration;
+mod configuration_table;
+mod deadlines;
+mod document;
 mod due_queue;
-mod hosts;
+mod group_call;
+mod host;
+mod host_table;
 mod instance_state;
-mod owned;
+mod owned_database;
+mod phase;
+mod reservation;
 mod route;
+mod standby;
 mod store_loop;
+mod transfer;
 
-pub(crate) use calls::{GroupCall, StoreCall};
-pub(crate) use configuration::{ConfigurationTable, Document};
+pub(crate) use configuration_table::ConfigurationTable;
+pub(crate) use deadlines::Deadlines;
+pub(crate) use document::Document;
 pub(crate) use due_queue::DueQueue;
-pub(crate) use hosts::{
-    FAR_SUSPICION_US, Host, HostState, HostTable, RING_SUCCESSORS, SMALL_FLEET_PEERS, SUSPICION_US,
-};
+pub(crate) use group_call::GroupCall;
+pub(crate) use host::{FAR_SUSPICION_US, Host, HostState, SUSPICION_US};
+pub(crate) use host_table::{HostTable, RING_SUCCESSORS, SMALL_FLEET_PEERS};
 pub(crate) use instance_state::InstanceState;
-pub(crate) use owned::{OwnedDatabase, Phase, Standby, Transfer};
-pub(crate) use route::{Reservation, Route};
+pub(crate) use owned_database::OwnedDatabase;
+pub(crate) use phase::Phase;
+pub(crate) use reservation::Reservation;
+pub(crate) use route::Route;
+pub(crate) use standby::Standby;
 pub(crate) use store_loop::StoreLoop;
+pub(crate) use transfer::Transfer;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -34,21 +46,6 @@
 use crate::message::OwnershipUpdate;
 use crate::{DatabaseId, GroupCallKey, HostId, InstanceId, StoreCallKey, View};
 
-/// Deadlines of the entities of each table.
-#[derive(Debug)]
-pub(crate) struct Deadlines {
-    pub(crate) heartbeat: DueQueue<()>,
-    pub(crate) suspicion: DueQueue<HostId>,
-    pub(crate) configuration_store: DueQueue<()>,
-    pub(crate) configuration_fetch: DueQueue<()>,
-    pub(crate) route: DueQueue<DatabaseId>,
-    pub(crate) record: DueQueue<()>,
-    pub(crate) owned: DueQueue<DatabaseId>,
-    pub(crate) instance: DueQueue<InstanceId>,
-    pub(crate) store_call: DueQueue<StoreCallKey>,
-    pub(crate) group_call: DueQueue<GroupCallKey>,
-}
-
 /// Everything that the systems of the control machine read and write.
 #[derive(Debug)]
 pub(crate) struct Tables {
@@ -76,7 +73,7 @@
     pub(crate) record_queue: VecDeque<StoreOperation>,
     pub(crate) record_loop: StoreLoop,
     pub(crate) record_calls: usize,
-    pub(crate) store_calls: Arena<StoreCallKey, StoreCall>,
+    pub(crate) store_calls: Arena<StoreCallKey, StoreOperation>,
     pub(crate) group_calls: Arena<GroupCallKey, GroupCall>,
     /// Ownership changes that heartbeats pass on, each with the time until which they do.
     pub(crate) updates: VecDeque<(OwnershipUpdate, u64)>,
@@ -96,8 +93,19 @@
 }
 
 impl Tables {
+    /// Creates the tables of a host that starts now.
+    pub(crate) fn start(config: ControlConfig, now_us: u64) -> Self {
+        let mut tables = Self::new(config, now_us);
+        tables.deadlines.heartbeat.set((), now_us);
+        tables.deadlines.configuration_store.set((), now_us);
+        for (peer, row) in tables.hosts.iter() {
+            tables.deadlines.suspicion.set(peer, row.suspect_at_us());
+        }
+        tables
+    }
+
     pub(crate) fn new(config: ControlConfig, now_us: u64) -> Self {
-        let mut tables = Self {
+        Self {
             now_us,
             last_tick_us: now_us,
             resumed_at_us: now_us,
@@ -129,13 +137,7 @@
             counters: ControlCounters::default(),
             actions: Vec::new(),
             config,
-        };
-        tables.deadlines.heartbeat.set((), now_us);
-        tables.deadlines.configuration_store.set((), now_us);
-        for (peer, row) in tables.hosts.iter() {
-            tables.deadlines.suspicion.set(peer, row.suspect_at_us());
         }
-        tables
     }
 
     pub(crate) fn log(&mut self, change: StateChange) {
@@ -151,7 +153,7 @@
     /// the I/O layer does not report it.
     pub(crate) fn call_store(&mut self, operation: StoreOperation, limit_us: u64) -> StoreCallKey {
         const REPORT_GRACE_US: u64 = 1_000_000;
-        let call = self.store_calls.insert(StoreCall { operation: operation.clone() });
+        let call = self.store_calls.insert(operation.clone());
         let deadline_us = self.now_us + limit_us;
         self.deadlines.store_call.set(call, deadline_us + REPORT_GRACE_US);
         self.counters.store_calls += 1;
@@ -215,39 +217,3 @@
         }
     }
 }
-
-impl Deadlines {
-    fn new() -> Self {
-        Self {
-            heartbeat: DueQueue::new(),
-            suspicion: DueQueue::new(),
-            configuration_store: DueQueue::new(),
-            configuration_fetch: DueQueue::new(),
-            route: DueQueue::new(),
-            record: DueQueue::new(),
-            owned: DueQueue::new(),
-            instance: DueQueue::new(),
-            store_call: DueQueue::new(),
-            group_call: DueQueue::new(),
-        }
-    }
-
-    /// The earliest deadline of all tables.
-    pub(crate) fn next_us(&self) -> Option<u64> {
-        [
-            self.heartbeat.next_us(),
-            self.suspicion.next_us(),
-            self.configuration_store.next_us(),
-            self.configuration_fetch.next_us(),
-            self.route.next_us(),
-            self.record.next_us(),
-            self.owned.next_us(),
-            self.instance.next_us(),
-            self.store_call.next_us(),
-            self.group_call.next_us(),
-        ]
-        .into_iter()
-        .flatten()
-        .min()
-    }
-}
--- a/crates/core/src/control/tables/configuration.rs
+++ b/crates/core/src/control/tables/configuration_table.rs
@@ -3,17 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::StoreLoop;
+use super::{Document, StoreLoop};
 use crate::configuration::Configuration;
 use crate::{HostId, StoreCallKey};
 
-/// A configuration document.
-#[derive(Clone, Debug)]
-pub(crate) struct Document {
-    pub(crate) version: u64,
-    pub(crate) text: String,
-}
-
 /// The configuration in force and what is on its way.
 #[derive(Debug)]
 pub(crate) struct ConfigurationTable {
--- /dev/null
+++ b/crates/core/src/control/tables/document.rs
@@ -0,0 +1,8 @@
+//! Configuration documents.
+
+/// A configuration document.
+#[derive(Clone, Debug)]
+pub(crate) struct Document {
+    pub(crate) version: u64,
+    pub(crate) text: String,
+}
--- a/crates/core/src/control/tables/calls.rs
+++ b/crates/core/src/control/tables/group_call.rs
@@ -1,13 +1,7 @@
-//! Outstanding calls.
+//! Outstanding calls to database instances.
 
 use crate::InstanceId;
-use crate::control::{GroupOperation, StoreOperation};
-
-/// An outstanding call to the key-value service.
-#[derive(Clone, Debug)]
-pub(crate) struct StoreCall {
-    pub(crate) operation: StoreOperation,
-}
+use crate::control::GroupOperation;
 
 /// An outstanding call to a database instance.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/control/tables/hosts.rs
+++ b/crates/core/src/control/tables/host_table.rs
@@ -2,71 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use super::host::{Host, HostState, RECENT_US};
 use crate::{DatabaseId, HostId};
 
-/// Time without a heartbeat after which a host can be suspected.
-pub(crate) const SUSPICION_US: u64 = 600_000;
-/// Suspicion time of a host whose heartbeats do not come here regularly: with 6 receivers of each
-/// heartbeat, one of 500 hosts is heard or listed about every 2 s.
-pub(crate) const FAR_SUSPICION_US: u64 = 30_000_000;
 /// Number of peers up to which every heartbeat goes to all.
 pub(crate) const SMALL_FLEET_PEERS: usize = 8;
 /// Ring successors that get every heartbeat in a larger fleet.
 pub(crate) const RING_SUCCESSORS: usize = 4;
-/// Age up to which a heartbeat counts as recent, both for listing its sender as heard and for
-/// believing what it lists.
-pub(crate) const RECENT_US: u64 = 300_000;
-
-/// What is known of a peer's life.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum HostState {
-    /// Not heard yet, and not long enough to suspect it.
-    Unknown,
-    Alive,
-    Suspected,
-}
-
-/// A peer.
-#[derive(Debug)]
-pub(crate) struct Host {
-    pub(crate) state: HostState,
-    pub(crate) incarnation: u64,
-    pub(crate) sequence: u64,
-    pub(crate) draining: bool,
-    pub(crate) configuration_version: u64,
-    /// When its last heartbeat arrived.
-    pub(crate) heard_at_us: Option<u64>,
-    /// Whether every heartbeat of the host comes here.
-    pub(crate) is_near: bool,
-    /// When it counts as not heard for the suspicion time, as far as its own heartbeats go.
-    pub(crate) silent_at_us: u64,
-    /// When a heartbeat of a third host last listed it as heard.
-    pub(crate) vouched_at_us: Option<u64>,
-}
-
-impl Host {
-    fn new(is_near: bool, now_us: u64) -> Self {
-        let suspicion_us = if is_near { SUSPICION_US } else { FAR_SUSPICION_US };
-        Self {
-            state: HostState::Unknown,
-            incarnation: 0,
-            sequence: 0,
-            draining: false,
-            configuration_version: 0,
-            heard_at_us: None,
-            is_near,
-            silent_at_us: now_us + suspicion_us,
-            vouched_at_us: None,
-        }
-    }
-
-    /// When the host becomes suspect if nothing more is heard of it.
-    pub(crate) fn suspect_at_us(&self) -> u64 {
-        let vouched_until_us = self.vouched_at_us.map_or(0, |at_us| at_us + RECENT_US);
-        self.silent_at_us.max(vouched_until_us)
-    }
-}
-
 /// All peers in the settings.
 #[derive(Debug, Default)]
 pub(crate) struct HostTable {
--- a/crates/core/src/control/tables/instance_state.rs
+++ b/crates/core/src/control/tables/instance_state.rs
@@ -3,6 +3,9 @@
 use crate::traffic::ProbeFailure;
 use crate::{GroupCallKey, InstanceReport, InstanceRole, Position, Term};
 
+/// Delay before a failed fencing or follow call is repeated.
+const RETRY_US: u64 = 100_000;
+
 /// What an owner knows of a database instance.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceState {
@@ -62,6 +65,19 @@
         }
     }
 
+    /// Notes the end of a fencing call, with the report if the term was accepted.
+    pub(crate) fn note_fenced(&mut self, accepted: Option<InstanceReport>, now_us: u64) {
+        self.fenced = accepted.map(|report| report.position);
+        self.fence_failed = accepted.is_none();
+        self.retry_at_us = if accepted.is_some() { now_us } else { now_us + RETRY_US };
+    }
+
+    /// Notes the end of a follow call.
+    pub(crate) fn note_following(&mut self, accepted: bool, now_us: u64) {
+        self.following_since_us = accepted.then_some(now_us);
+        self.retry_at_us = if accepted { now_us } else { now_us + RETRY_US };
+    }
+
     /// Forgets what holds for one term only.
     pub(crate) fn forget_term(&mut self, now_us: u64) {
         self.fence_call = None;
--- a/crates/core/src/control/tables/owned.rs
+++ b/crates/core/src/control/tables/owned_database.rs
@@ -1,50 +1,7 @@
 //! Databases that this host owns.
 
-use super::InstanceState;
-use crate::{HostId, Term};
-
-/// Progress of the takeover or promotion of a database.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Phase {
-    /// Waits until a majority of instances has accepted the term.
-    Fencing {
-        /// Since when no fencing has succeeded.
-        since_us: u64,
-        /// When a majority had accepted the term.
-        majority_at_us: Option<u64>,
-    },
-    /// Waits for the answer of the promotion call.
-    Promoting { index: u8 },
-    /// The promotion call's answer was lost; status calls sent since then tell what came of it.
-    Resolving { index: u8, since_us: u64 },
-    /// Open for work.
-    Open { primary: u8 },
-}
-
-/// A planned change under which a database admits no new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Transfer {
-    /// The primary moves to a wanted instance.
-    Promotion {
-        wanted: u8,
-        /// When the change goes on or is given up.
-        limit_us: u64,
-        /// When the traffic threads had nothing running any more.
-        quiescent_at_us: Option<u64>,
-    },
-    /// The database goes to its standby.
-    Handover { limit_us: u64, quiescent: bool, next_offer_us: u64 },
-}
-
-/// Standby that the written ownership record names.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Standby {
-    pub(crate) host: HostId,
-    pub(crate) epoch: u32,
-    /// Incarnation of the standby's process when it was named. A restarted process has forgotten
-    /// whether it used the reserved epoch, so it is not the standby any more.
-    pub(crate) incarnation: u64,
-}
+use super::{InstanceState, Phase, Standby, Transfer};
+use crate::Term;
 
 /// A database that this host owns.
 #[derive(Debug)]
--- a/crates/core/src/control/tables/route.rs
+++ b/crates/core/src/control/tables/route.rs
@@ -1,19 +1,9 @@
 //! What is known of the ownership of a database.
 
+use super::Reservation;
 use crate::HostId;
 use crate::control::OwnerRecord;
 
-/// Epoch that the owner's heartbeat reserves for this host.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Reservation {
-    /// Owner that announced it.
-    pub(crate) from: HostId,
-    /// Epoch of the owner that announced it.
-    pub(crate) from_epoch: u32,
-    /// Epoch that this host may use once.
-    pub(crate) epoch: u32,
-}
-
 /// What is known of the ownership of a database.
 #[derive(Debug)]
 pub(crate) struct Route {
@@ -31,6 +21,8 @@
     pub(crate) denied_since_us: Option<u64>,
     /// Since when the database has had no live owner as far as known.
     pub(crate) unowned_since_us: Option<u64>,
+    /// Whether the record has been read since the owner became unknown.
+    pub(crate) is_looked_up: bool,
     /// How often this host has lost the database to another owner without hearing from that owner
     /// since.
     pub(crate) losses: u32,
@@ -51,6 +43,7 @@
             reservation: None,
             denied_since_us: None,
             unowned_since_us: None,
+            is_looked_up: false,
             losses: 0,
             is_record_busy: false,
             proposed: None,
--- a/crates/core/tests/control_ownership.rs
+++ b/crates/core/tests/control_ownership.rs
@@ -103,6 +103,20 @@
     insta::assert_snapshot!(simulation.take_log());
 }
 
+/// Guards against a standby that resumes after a pause and takes a healthy owner for dead.
+#[test]
+fn paused_standby_resumes_and_takes_nothing() {
+    let mut simulation = settled_fleet(2, 1, "ledger-1");
+    let (_, record) = simulation.store.records[&database("ledger-1")];
+    let standby = record.standby.unwrap();
+    simulation.node(standby).paused = true;
+    simulation.run_for(4 * SECOND);
+    simulation.node(standby).paused = false;
+    simulation.run_for(2 * SECOND);
+    assert_eq!(simulation.node(standby).control.counters().suspicions, 0);
+    assert_eq!(simulation.owners("ledger-1"), [record.owner]);
+}
+
 /// Guards against an owner that resumes before anything of its successor reaches it and takes a lost
 /// fence for a lost primary: the instances' terms must stop it.
 #[test]
--- a/crates/core/tests/control_support/fake_group.rs
+++ b/crates/core/tests/control_support/fake_group.rs
@@ -92,15 +92,16 @@
             }
             _ => {}
         }
-        let role = if instance.primary_of.is_some() {
-            InstanceRole::Primary
-        } else {
-            InstanceRole::Replica
-        };
+        self.report(index, accepted, now_us)
+    }
+
+    fn report(&self, index: usize, accepted: bool, now_us: u64) -> InstanceReport {
+        let instance = &self.instances[index];
+        let is_primary = instance.primary_of.is_some();
         InstanceReport {
             accepted_term: instance.accepted,
             position: instance.position,
-            role,
+            role: if is_primary { InstanceRole::Primary } else { InstanceRole::Replica },
             primary_heard_ms: instance.heard_at_us.map(|at_us| (now_us - at_us) / 1_000),
             accepted,
         }
--- /dev/null
+++ b/crates/core/tests/control_support/simulation.rs
@@ -0,0 +1,343 @@
+//! A few `Control` machines, with a queue of messages between them and their fakes.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use flamingorock_core::control::{
+    Action, Control, ControlConfig, Event, GroupOperation, HostEntry, StoreAnswer, StoreOperation,
+};
+use flamingorock_core::message::Heartbeat;
+use flamingorock_core::traffic::ProbeFailure;
+use flamingorock_core::{DatabaseId, HostId, InstanceId, ServedDatabase, View};
+
+use super::fake_group::{FakeGroup, FakeInstance};
+use super::fake_store::FakeStore;
+use super::{MS, database, parse};
+
+const REPLICATION_STEP_US: u64 = 50 * MS;
+
+pub(crate) struct Node {
+    pub(crate) control: Control,
+    pub(crate) up: bool,
+    pub(crate) paused: bool,
+    pub(crate) view: Arc<View>,
+    pub(crate) drained: bool,
+    /// Whether the traffic threads report that nothing runs as soon as admission stops.
+    pub(crate) goes_quiescent: bool,
+    waiting: VecDeque<Event>,
+}
+
+pub(crate) struct Simulation {
+    pub(crate) now_us: u64,
+    pub(crate) nodes: BTreeMap<HostId, Node>,
+    pub(crate) store: FakeStore,
+    pub(crate) groups: BTreeMap<DatabaseId, FakeGroup>,
+    pub(crate) log: Vec<String>,
+    /// Whether calls that change an instance go into the log.
+    pub(crate) logs_calls: bool,
+    /// Pairs of hosts between which nothing passes.
+    pub(crate) cuts: Vec<(HostId, HostId)>,
+    /// A host that reaches no instance.
+    pub(crate) cut_from_instances: Option<HostId>,
+    pub(crate) last_heartbeat: BTreeMap<HostId, Heartbeat>,
+    queue: BTreeMap<(u64, u64), (HostId, Event)>,
+    queued: u64,
+    steps_at_this_time: u32,
+    random: u64,
+}
+
+impl Simulation {
+    /// Starts hosts numbered from 1 with a configuration in the store.
+    pub(crate) fn new(hosts: u16, seed: u64, databases: &str) -> Self {
+        let mut store = FakeStore::default();
+        store.apply(1, databases);
+        let mut simulation = Self {
+            now_us: 0,
+            nodes: BTreeMap::new(),
+            store,
+            groups: databases.split(' ').map(|name| (database(name), FakeGroup::new())).collect(),
+            log: Vec::new(),
+            logs_calls: false,
+            cuts: Vec::new(),
+            cut_from_instances: None,
+            last_heartbeat: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            queued: 0,
+            steps_at_this_time: 0,
+            random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
+        };
+        for host in 1..=hosts {
+            simulation.start(host, hosts, seed);
+        }
+        simulation
+    }
+
+    /// Starts a host, also in place of an earlier process.
+    pub(crate) fn start(&mut self, host: u16, hosts: u16, seed: u64) {
+        let peers = (1..=hosts).filter(|&peer| peer != host).map(HostId).collect();
+        let config = ControlConfig::new(HostId(host))
+            .peers(peers)
+            .seed(seed * 100 + u64::from(host))
+            .incarnation(self.now_us + 1);
+        let node = Node {
+            control: Control::new(config),
+            up: true,
+            paused: false,
+            view: Arc::new(View::default()),
+            drained: false,
+            goes_quiescent: true,
+            waiting: VecDeque::new(),
+        };
+        self.nodes.insert(HostId(host), node);
+    }
+
+    /// A number below the limit (xorshift).
+    pub(crate) fn random_below(&mut self, limit: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % limit
+    }
+
+    pub(crate) fn node(&mut self, host: HostId) -> &mut Node {
+        self.nodes.get_mut(&host).unwrap()
+    }
+
+    pub(crate) fn instance(&mut self, name: &str, index: u8) -> &mut FakeInstance {
+        &mut self.groups.get_mut(&database(name)).unwrap().instances[usize::from(index)]
+    }
+
+    pub(crate) fn send(&mut self, host: HostId, event: Event) {
+        self.queue_in(500, host, event);
+    }
+
+    fn queue_in(&mut self, delay_us: u64, host: HostId, event: Event) {
+        self.queued += 1;
+        self.queue.insert((self.now_us + delay_us, self.queued), (host, event));
+    }
+
+    pub(crate) fn apply(&mut self, version: u64, text: &str) {
+        for (host, call) in self.store.apply(version, text) {
+            let answer = self.store.configuration();
+            self.queue_in(2 * MS, host, Event::StoreAnswered { call, answer });
+        }
+    }
+
+    /// Publishes a list on which the named hosts are leaving.
+    pub(crate) fn list_leaving(&mut self, names: &[&str]) {
+        let address = [127, 0, 0, 1].into();
+        let entry = |name: &&str| HostEntry { name: (*name).to_owned(), address, leaving: true };
+        let entries: Vec<HostEntry> = names.iter().map(entry).collect();
+        for host in self.nodes.keys().copied().collect::<Vec<_>>() {
+            self.send(host, Event::HostListRead(entries.clone()));
+        }
+    }
+
+    /// Cuts a host off from all others.
+    pub(crate) fn isolate(&mut self, host: HostId) {
+        self.cuts.extend(self.nodes.keys().map(|&other| (host, other)));
+    }
+
+    pub(crate) fn run_for(&mut self, duration_us: u64) {
+        let end_us = self.now_us + duration_us;
+        self.run_until(end_us, |_| false);
+    }
+
+    /// Runs until a condition holds and returns how long that took; fails at the limit.
+    #[track_caller]
+    pub(crate) fn measure(&mut self, limit_us: u64, condition: impl Fn(&Self) -> bool) -> u64 {
+        let start_us = self.now_us;
+        let log_len = self.log.len();
+        if !self.run_until(start_us + limit_us, condition) {
+            panic!("condition not met; log since:\n{}", self.log[log_len..].join("\n"));
+        }
+        self.now_us - start_us
+    }
+
+    fn run_until(&mut self, end_us: u64, condition: impl Fn(&Self) -> bool) -> bool {
+        while self.now_us < end_us {
+            if condition(self) {
+                return true;
+            }
+            self.step(end_us);
+        }
+        condition(self)
+    }
+
+    /// Goes to the next time at which something happens.
+    fn step(&mut self, end_us: u64) {
+        let ticks = self.nodes.values().filter(|node| node.up && !node.paused);
+        let ticks = ticks.filter_map(|node| node.control.next_deadline_us());
+        let replication_us = (self.now_us / REPLICATION_STEP_US + 1) * REPLICATION_STEP_US;
+        let delivery_us = self.queue.keys().next().map(|key| key.0);
+        let next = ticks.chain(delivery_us).chain([replication_us, end_us]).min();
+        let next_us = next.unwrap_or(end_us).max(self.now_us);
+        self.steps_at_this_time =
+            if next_us == self.now_us { self.steps_at_this_time + 1 } else { 0 };
+        assert!(self.steps_at_this_time < 100, "a machine asks to be ticked without an end");
+        self.now_us = next_us;
+        if self.now_us == replication_us {
+            self.replicate();
+        }
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now_us) {
+            let (host, event) = entry.remove();
+            if let Some(node) = self.nodes.get_mut(&host).filter(|node| node.up) {
+                node.waiting.push_back(event);
+            }
+        }
+        for host in self.nodes.keys().copied().collect::<Vec<_>>() {
+            self.tick(host);
+        }
+    }
+
+    fn replicate(&mut self) {
+        for node in self.nodes.values().filter(|node| node.up && !node.paused) {
+            for served in node.view.served.iter().filter(|served| served.admits) {
+                let group = self.groups.get_mut(&served.database).unwrap();
+                if let Some(index) = served.primary_index {
+                    group.write(index, served.term);
+                }
+            }
+        }
+        let step = self.now_us / REPLICATION_STEP_US;
+        self.groups.values_mut().for_each(|group| group.replicate(self.now_us, step));
+    }
+
+    fn tick(&mut self, host: HostId) {
+        let now_us = self.now_us;
+        let node = self.node(host);
+        let is_due = node.control.next_deadline_us().is_some_and(|due_us| due_us <= now_us);
+        if !node.up || node.paused || (node.waiting.is_empty() && !is_due) {
+            return;
+        }
+        // Deadlines first, then one event a tick: a resumed process may look at its clock before it
+        // reads its sockets.
+        if !is_due && let Some(event) = node.waiting.pop_front() {
+            node.control.push(event);
+        }
+        let is_last = node.waiting.is_empty();
+        node.control.tick(now_us);
+        for action in node.control.drain_actions().collect::<Vec<_>>() {
+            self.carry_out(host, action);
+        }
+        if !is_last {
+            self.tick(host);
+        }
+    }
+
+    fn carry_out(&mut self, host: HostId, action: Action) {
+        let latency_us = 400 + self.random_below(200);
+        match action {
+            Action::SendHeartbeat { to, heartbeat } => {
+                self.last_heartbeat.insert(host, (*heartbeat).clone());
+                for receiver in to {
+                    let event = Event::HeartbeatReceived((*heartbeat).clone());
+                    self.pass(latency_us, host, receiver, event);
+                }
+            }
+            Action::SendMessage { to, message } => {
+                self.pass(latency_us, host, to, Event::MessageReceived { from: host, message });
+            }
+            Action::CallStore { call, operation, deadline_us } => {
+                let now_us = self.now_us;
+                let is_watch = matches!(operation, StoreOperation::WatchConfiguration { .. });
+                let (delay_us, answer) = match self.store.call(now_us, host, call, operation) {
+                    Some(answer) => (2 * MS, answer),
+                    None if is_watch && !self.store.down => {
+                        (deadline_us - now_us, self.store.configuration())
+                    }
+                    None => (deadline_us - now_us, StoreAnswer::Failed),
+                };
+                self.queue_in(delay_us, host, Event::StoreAnswered { call, answer });
+            }
+            Action::CallGroup { call, instance, operation, .. } => {
+                self.call_group(host, call, instance, operation);
+            }
+            Action::ParseConfiguration { version, text } => {
+                let result = parse(version, &text);
+                self.queue_in(100, host, Event::ConfigurationParsed { version, result });
+            }
+            Action::Publish(view) => self.publish(host, view),
+            Action::DrainFinished => {
+                self.node(host).drained = true;
+                self.note(host, "drain finished");
+            }
+            Action::Log(change) => self.note(host, &change.to_string()),
+        }
+    }
+
+    fn pass(&mut self, latency_us: u64, from: HostId, to: HostId, event: Event) {
+        if !self.cuts.contains(&(from, to)) && !self.cuts.contains(&(to, from)) {
+            self.queue_in(latency_us, to, event);
+        }
+    }
+
+    fn call_group(
+        &mut self,
+        host: HostId,
+        call: flamingorock_core::GroupCallKey,
+        instance: InstanceId,
+        operation: GroupOperation,
+    ) {
+        if self.logs_calls && operation != GroupOperation::Status {
+            self.note(host, &format!("instance {instance}: {operation:?}"));
+        }
+        let now_us = self.now_us;
+        let group = self.groups.get_mut(&instance.database).unwrap();
+        let index = usize::from(instance.index);
+        let state = &mut group.instances[index];
+        if !state.up {
+            let result = Err(ProbeFailure::ConnectionLost);
+            return self.queue_in(300, host, Event::GroupAnswered { call, result });
+        }
+        if state.paused || state.cut_from_proxies || self.cut_from_instances == Some(host) {
+            return;
+        }
+        let is_lost =
+            matches!(operation, GroupOperation::Promote(_)) && state.lose_promote_answers > 0;
+        state.lose_promote_answers -= u32::from(is_lost);
+        let result = Ok(group.call(index, operation, now_us));
+        if !is_lost {
+            self.queue_in(1_000, host, Event::GroupAnswered { call, result });
+        }
+    }
+
+    fn publish(&mut self, host: HostId, view: Arc<View>) {
+        let node = self.node(host);
+        assert!(view.sequence > node.view.sequence, "views are published in order");
+        node.view = Arc::clone(&view);
+        if node.goes_quiescent {
+            for served in view.served.iter().filter(|served| !served.admits) {
+                let epoch = served.term.epoch();
+                let event = Event::Quiescent { database: served.database, epoch };
+                self.queue_in(20 * MS, host, event);
+            }
+        }
+    }
+
+    pub(crate) fn note(&mut self, host: HostId, text: &str) {
+        self.log.push(format!("{:>6} ms host {host}: {text}", self.now_us / MS));
+    }
+
+    /// Host that serves a database through a primary that a majority accepts.
+    pub(crate) fn server(&self, name: &str) -> Option<(HostId, ServedDatabase)> {
+        let id = database(name);
+        self.nodes.iter().filter(|(_, node)| node.up && !node.paused).find_map(|(&host, node)| {
+            let served = node.view.served_database(id).filter(|served| served.admits)?;
+            let serves = self.groups[&id].is_serving(served.primary_index?, served.term);
+            serves.then_some((host, served))
+        })
+    }
+
+    /// Live hosts that believe that they own a database.
+    pub(crate) fn owners(&self, name: &str) -> Vec<HostId> {
+        let id = database(name);
+        let nodes = self.nodes.iter().filter(|(_, node)| node.up);
+        nodes.filter(|(_, node)| node.view.served_database(id).is_some()).map(|(&h, _)| h).collect()
+    }
+
+    /// Takes the log as one text.
+    pub(crate) fn take_log(&mut self) -> String {
+        core::mem::take(&mut self.log).join("\n")
+    }
+}
