Let a slow answer to a status call count

Cause: an answer that came after 200 ms was dropped, so a primary that answers slowly but steadily counted as unanswered for 600 ms and was replaced. Change: a status call is missed after 200 ms, which starts the fast calls, and its answer counts until 600 ms. Promotion calls are sent in one place.

--- a/crates/core/src/control/control_config.rs
+++ b/crates/core/src/control/control_config.rs
@@ -47,6 +47,13 @@
         self
     }
 
+    /// Sets the time that open transactions get to finish during a handover.
+    #[must_use]
+    pub fn handover_limit_us(mut self, handover_limit_us: u64) -> Self {
+        self.handover_limit_us = handover_limit_us;
+        self
+    }
+
     /// Sets the seed of the jitter.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/crates/core/src/control/systems/fencing.rs
+++ b/crates/core/src/control/systems/fencing.rs
@@ -6,7 +6,7 @@
 use crate::control::{GroupOperation, StateChange};
 use crate::{DatabaseId, InstanceId};
 
-const FENCE_LIMIT_US: u64 = 400_000;
+const FENCE_LIMIT_US: u64 = 600_000;
 const PROMOTE_LIMIT_US: u64 = 300_000;
 /// Time that the rest gets to answer once a majority has accepted the term. A minority instance can
 /// have a higher position, which matters under `durability = primary`.
@@ -67,14 +67,18 @@
             owned.begin_next_term(owned.term, now_us);
             tables.deadlines.owned.set(database, now_us);
         }
-        Choice::Promote(index) => {
-            owned.phase = Phase::Promoting { index };
-            let operation = GroupOperation::Promote(owned.term);
-            tables.call_group(InstanceId { database, index }, operation, PROMOTE_LIMIT_US);
-        }
+        Choice::Promote(index) => promote(tables, InstanceId { database, index }),
     }
 }
 
+/// Sends the promotion call. Under one term it goes to one instance only.
+pub(crate) fn promote(tables: &mut Tables, instance: InstanceId) {
+    let Some(owned) = tables.owned.get_mut(&instance.database) else { return };
+    owned.phase = Phase::Promoting { index: instance.index };
+    let operation = GroupOperation::Promote(owned.term);
+    tables.call_group(instance, operation, PROMOTE_LIMIT_US);
+}
+
 /// Chooses the instance with the highest position among those that have accepted the term. An
 /// instance on a leaving host is chosen only if no other has the position; after that a wanted
 /// instance goes first, then the last primary.
--- a/crates/core/src/control/systems/group_answers.rs
+++ b/crates/core/src/control/systems/group_answers.rs
@@ -14,20 +14,40 @@
         finish(tables, key, result);
     }
     for key in tables.deadlines.group_call.take_due(tables.now_us) {
-        finish(tables, key, Err(ProbeFailure::Timeout));
+        if !miss(tables, key) {
+            finish(tables, key, Err(ProbeFailure::Timeout));
+        }
     }
 }
 
+/// Counts a status call as missed long before its deadline. The next one goes out meanwhile, and the
+/// answer still counts if it comes: the instance may just be slow.
+fn miss(tables: &mut Tables, key: GroupCallKey) -> bool {
+    let Some(&call) = tables.group_calls.get(key) else { return false };
+    let resumed_at_us = tables.resumed_at_us;
+    let Some(state) = tables.instance_mut(call.instance) else { return false };
+    if state.status_call.take_if(|present| *present == key).is_none() {
+        return false;
+    }
+    // What went unanswered during a delay of this process says nothing.
+    state.note_failure(call.sent_at_us.max(resumed_at_us), ProbeFailure::Timeout);
+    tables.counters.group_failures += 1;
+    tables.deadlines.group_call.set(key, call.sent_at_us + monitor::STATUS_LIMIT_US);
+    monitor::schedule(tables, call.instance);
+    tables.deadlines.owned.set_earlier(call.instance.database, tables.now_us);
+    true
+}
+
 fn finish(tables: &mut Tables, key: GroupCallKey, result: GroupResult) {
     let Some(call) = tables.group_calls.remove(key) else { return };
     tables.deadlines.group_call.cancel(key);
-    if result.is_err() {
-        tables.counters.group_failures += 1;
-    }
     let database = call.instance.database;
     if !take_instance_state(tables, key, &call, result) {
         return;
     }
+    if result.is_err() {
+        tables.counters.group_failures += 1;
+    }
     if let GroupOperation::Promote(term) = call.operation {
         take_promotion(tables, &call, term, result);
     }
@@ -50,12 +70,16 @@
 ) -> bool {
     let now_us = tables.now_us;
     let Some(owned) = tables.owned.get_mut(&call.instance.database) else { return false };
-    let term = owned.term;
+    let (term, is_stale) = (owned.term, call.sent_at_us < owned.monitored_since_us);
     let Some(state) = owned.instances.get_mut(usize::from(call.instance.index)) else {
         return false;
     };
     let is_current = match call.operation {
-        GroupOperation::Status => state.status_call.take_if(|present| *present == key).is_some(),
+        // The answer to a missed call counts; its failure has been counted.
+        GroupOperation::Status => {
+            let is_expected = state.status_call.take_if(|present| *present == key).is_some();
+            is_expected || (result.is_ok() && !is_stale)
+        }
         GroupOperation::AcceptTerm(_) => {
             state.fence_call.take_if(|present| *present == key).is_some()
         }
@@ -69,7 +93,6 @@
     }
     let report = result.ok().filter(|report| report.accepted);
     match (call.operation, result) {
-        // What went unanswered during a delay of this process says nothing.
         (GroupOperation::Status, Err(failure)) => {
             state.note_failure(call.sent_at_us.max(tables.resumed_at_us), failure);
         }
--- a/crates/core/src/control/systems/monitor.rs
+++ b/crates/core/src/control/systems/monitor.rs
@@ -8,8 +8,10 @@
 const REPLICA_INTERVAL_US: u64 = 600_000;
 /// Interval for all instances while something seems wrong.
 const FAST_INTERVAL_US: u64 = 100_000;
-/// Time after which a status call counts as missed.
-const STATUS_LIMIT_US: u64 = 200_000;
+/// Time after which a status call counts as missed and the next one goes out.
+const MISSED_US: u64 = 200_000;
+/// Time after which the answer to a status call is no longer waited for.
+pub(crate) const STATUS_LIMIT_US: u64 = 600_000;
 /// Silence of the primary from which something seems wrong: three missed keepalives.
 const EARLY_SILENCE_US: u64 = 300_000;
 
@@ -20,6 +22,7 @@
             continue;
         }
         let call = tables.call_group(instance, GroupOperation::Status, STATUS_LIMIT_US);
+        tables.deadlines.group_call.set(call, now_us + MISSED_US);
         if let Some(state) = tables.instance_mut(instance) {
             state.status_call = Some(call);
             state.status_sent_us = now_us;
@@ -27,7 +30,8 @@
     }
 }
 
-/// Whether status calls go to the instance now: at most one at a time, to all instances of an open
+/// Whether a status call goes to the instance now: none while one is waited for that has not been
+/// missed yet. They go to all instances of an open
 /// database and to an instance whose promotion is in doubt.
 fn is_monitored(tables: &Tables, instance: InstanceId) -> bool {
     let Some(owned) = tables.owned.get(&instance.database) else { return false };
--- a/crates/core/src/control/systems/ownership.rs
+++ b/crates/core/src/control/systems/ownership.rs
@@ -164,18 +164,13 @@
 
 /// Notes the owner of an epoch, or that the epoch is in use. Only a higher epoch, or the owner of an
 /// epoch that had none, changes anything. An owner with a lower epoch steps down.
-pub(crate) fn learn(
-    tables: &mut Tables,
-    database: DatabaseId,
-    owner: Option<HostId>,
-    epoch: u32,
-) -> bool {
+pub(crate) fn learn(tables: &mut Tables, database: DatabaseId, owner: Option<HostId>, epoch: u32) {
     // An earlier process of this host is gone.
     let owner = owner.filter(|&owner| owner != tables.config.host);
-    let Some(route) = tables.routes.get(&database) else { return false };
+    let Some(route) = tables.routes.get(&database) else { return };
     let names_owner = epoch == route.epoch && route.owner.is_none() && owner.is_some();
     if epoch <= route.epoch && !names_owner {
-        return false;
+        return;
     }
     set_owner(tables, database, owner, epoch);
     if tables.owned.contains_key(&database) {
@@ -192,7 +187,6 @@
         tables.updates.push_back((update, tables.now_us + PASS_ON_US));
     }
     tables.deadlines.route.set(database, tables.now_us);
-    true
 }
 
 /// Notes that the heartbeat of the owner does not list the database.
--- a/crates/core/src/control/systems/resolving.rs
+++ b/crates/core/src/control/systems/resolving.rs
@@ -1,7 +1,6 @@
 //! Finds out what came of a promotion call whose answer was lost.
 
 use super::fencing;
-use crate::control::GroupOperation;
 use crate::control::tables::{Phase, Tables};
 use crate::{DatabaseId, InstanceId};
 
@@ -9,7 +8,6 @@
 const GIVE_UP_US: u64 = 600_000;
 /// Refused or broken connections after which an instance is given up.
 const GIVE_UP_LOSSES: u32 = 3;
-const PROMOTE_LIMIT_US: u64 = 300_000;
 
 pub(crate) fn run(tables: &mut Tables) {
     for database in tables.due_owned.clone() {
@@ -32,9 +30,7 @@
         }
         // The call did not arrive, or has not yet. A second promotion under the same term on the
         // same instance changes nothing.
-        owned.phase = Phase::Promoting { index };
-        let operation = GroupOperation::Promote(owned.term);
-        tables.call_group(instance, operation, PROMOTE_LIMIT_US);
+        fencing::promote(tables, instance);
         return;
     }
     let is_unanswered = now_us >= since_us + GIVE_UP_US;
--- a/crates/core/src/control/tables/instance_state.rs
+++ b/crates/core/src/control/tables/instance_state.rs
@@ -19,7 +19,7 @@
     pub(crate) failing_since_us: Option<u64>,
     /// Status calls in a row that ended with a refused or broken connection.
     pub(crate) connection_losses: u32,
-    /// Status call in flight.
+    /// Status call in flight that has not been missed yet.
     pub(crate) status_call: Option<GroupCallKey>,
     /// When the last status call was sent.
     pub(crate) status_sent_us: u64,
@@ -42,6 +42,9 @@
 impl InstanceState {
     /// Notes a report of a call that was sent at the given time.
     pub(crate) fn note_report(&mut self, report: InstanceReport, sent_at_us: u64, now_us: u64) {
+        if sent_at_us < self.report_sent_us {
+            return;
+        }
         self.failing_since_us = None;
         self.connection_losses = 0;
         self.primary_heard_at_us = match (report.role, report.primary_heard_ms) {
--- a/crates/core/src/control/tables/owned_database.rs
+++ b/crates/core/src/control/tables/owned_database.rs
@@ -9,6 +9,8 @@
     pub(crate) epoch: u32,
     pub(crate) term: Term,
     pub(crate) phase: Phase,
+    /// Reports of calls sent before concern another set of instances.
+    pub(crate) monitored_since_us: u64,
     /// Whether the ownership record shows this ownership.
     pub(crate) record_written: bool,
     pub(crate) standby: Option<Standby>,
@@ -40,6 +42,7 @@
             epoch,
             term: Term::first_of_epoch(epoch),
             phase: Phase::Fencing { since_us: now_us, majority_at_us: None },
+            monitored_since_us: now_us,
             record_written: false,
             standby: None,
             replace_standby_at_us: None,
@@ -106,6 +109,7 @@
     pub(crate) fn replace_instances(&mut self, count: usize, now_us: u64) {
         self.begin_next_term(self.term, now_us);
         self.instances = (0..count).map(|_| InstanceState::default()).collect();
+        self.monitored_since_us = now_us;
         self.last_primary = None;
         self.excluded = None;
         self.wanted = None;
--- a/crates/core/tests/control_promotion.rs
+++ b/crates/core/tests/control_promotion.rs
@@ -176,6 +176,17 @@
     }
 }
 
+/// Guards against a promotion because of a slow primary: a call is unanswered after 600 ms only.
+#[test]
+fn slow_primary_stays() {
+    let mut simulation = settled(1, "ledger-1");
+    let before = simulation.server("ledger-1").unwrap();
+    let primary = before.1.primary_index.unwrap();
+    simulation.instance("ledger-1", primary).answer_delay_us = 550 * MS;
+    simulation.run_for(20 * SECOND);
+    assert_eq!(simulation.server("ledger-1"), Some(before), "{}", simulation.take_log());
+}
+
 /// Guards against a pause of the owner itself that it takes for the death of its primary or peers.
 #[test]
 fn pause_of_the_owner_under_400_ms_changes_nothing() {
--- a/crates/core/tests/control_support/fake_group.rs
+++ b/crates/core/tests/control_support/fake_group.rs
@@ -13,6 +13,7 @@
     pub(crate) cut_from_group: bool,
     pub(crate) cut_from_proxies: bool,
     pub(crate) lose_promote_answers: u32,
+    pub(crate) answer_delay_us: u64,
     pub(crate) accepted: Term,
     pub(crate) position: Position,
     /// Term under which the instance was promoted, if it takes writes.
@@ -40,6 +41,7 @@
             cut_from_group: false,
             cut_from_proxies: false,
             lose_promote_answers: 0,
+            answer_delay_us: 1_000,
             accepted: Term(0),
             position: Position::new(Term(0), Lsn(10)),
             primary_of: None,
--- a/crates/core/tests/control_support/simulation.rs
+++ b/crates/core/tests/control_support/simulation.rs
@@ -296,9 +296,10 @@
         let is_lost =
             matches!(operation, GroupOperation::Promote(_)) && state.lose_promote_answers > 0;
         state.lose_promote_answers -= u32::from(is_lost);
+        let delay_us = state.answer_delay_us;
         let result = Ok(group.call(index, operation, now_us));
         if !is_lost {
-            self.queue_in(1_000, host, Event::GroupAnswered { call, result });
+            self.queue_in(delay_us, host, Event::GroupAnswered { call, result });
         }
     }
 
