Serve a request from end to end in the traffic machine

Cause: the core had types and no behaviour. Change: the entry side routes a request to the owner of its database; the owner side admits, queues by rank, runs, confirms by probes and answers it. Deadlines, retries, link and connection losses, draining and changes of the view are covered by systems of their own.

Failure schedules are not run yet.

--- a/crates/core/src/message/traffic_message.rs
+++ b/crates/core/src/message/traffic_message.rs
@@ -13,9 +13,6 @@
     pub request: RequestKey,
     /// Traffic thread of the entry proxy that waits for the answer.
     pub entry_thread: u8,
-    /// Number that is the same for all requests of one caller connection, so that the owner knows
-    /// when a connection changes hands.
-    pub session_id: u64,
     /// Database that the request is for.
     pub database: DatabaseId,
     /// What the request may do.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -1,17 +1,46 @@
 //! The traffic machine: callers, sessions, requests, connections and transactions.
 
 mod action;
+mod caller;
 mod caller_profile;
 mod caller_request;
+mod connection;
+mod database_state;
+mod deadlines;
+mod dispatch_policy;
+mod entry_request;
 mod event;
+mod first_in_first_out;
+mod floor_priority;
+mod gauges;
+mod instance_state;
+mod lane;
+mod latency_counts;
 mod machine;
+mod position_history;
 mod probe_failure;
+mod rank_counters;
+mod retry_budget;
+mod service_counters;
+mod strict_priority;
+mod systems;
+mod tables;
 mod traffic_config;
+mod transaction;
+mod work;
 
 pub use action::Action;
 pub use caller_profile::CallerProfile;
 pub use caller_request::CallerRequest;
+pub use dispatch_policy::DispatchPolicy;
 pub use event::{ConnectionLoss, Event};
+pub use first_in_first_out::FirstInFirstOut;
+pub use floor_priority::FloorPriority;
+pub use gauges::Gauges;
+pub use latency_counts::LatencyCounts;
 pub use machine::Traffic;
 pub use probe_failure::ProbeFailure;
+pub use rank_counters::RankCounters;
+pub use service_counters::ServiceCounters;
+pub use strict_priority::StrictPriority;
 pub use traffic_config::TrafficConfig;
--- /dev/null
+++ b/crates/core/src/traffic/floor_priority.rs
@@ -0,0 +1,71 @@
+//! Priority with a guaranteed share for each rank.
+
+use super::DispatchPolicy;
+use crate::configuration::Service;
+
+/// Serves the most urgent rank first, unless another waiting rank has had less than its floor of the
+/// recent dispatches.
+#[derive(Clone, Debug)]
+pub struct FloorPriority {
+    floors_percent: Vec<u32>,
+    dispatched: Vec<u32>,
+}
+
+impl FloorPriority {
+    /// Dispatches after which all counts are halved, so that old ones fade out.
+    const WINDOW: u32 = 256;
+
+    fn total(&self) -> u32 {
+        self.dispatched.iter().sum()
+    }
+
+    /// Hundredths of a dispatch that a rank is below its floor.
+    fn shortfall(&self, rank: usize) -> i64 {
+        let owed = i64::from(self.floors_percent[rank]) * i64::from(self.total());
+        owed - 100 * i64::from(self.dispatched[rank])
+    }
+
+    /// Takes away the claim that a rank without work has built up. Otherwise the first requests after
+    /// a quiet time would be served in one burst before more urgent ones.
+    fn forfeit_claim(&mut self, rank: usize) {
+        let shortfall = self.shortfall(rank);
+        if shortfall > 0 {
+            self.dispatched[rank] += u32::try_from(shortfall / 100).unwrap_or(0);
+        }
+    }
+}
+
+impl DispatchPolicy for FloorPriority {
+    fn new(service: &Service) -> Self {
+        let floors_percent = service.ranks.iter().map(|rank| u32::from(rank.floor_percent));
+        Self { floors_percent: floors_percent.collect(), dispatched: vec![0; service.ranks.len()] }
+    }
+
+    fn choose(&mut self, oldest_arrival_us: &[Option<u64>]) -> Option<usize> {
+        let mut below_floor: Option<(i64, usize)> = None;
+        for (rank, arrival) in oldest_arrival_us.iter().enumerate() {
+            if arrival.is_none() {
+                self.forfeit_claim(rank);
+                continue;
+            }
+            let shortfall = self.shortfall(rank);
+            if shortfall > 0 && below_floor.is_none_or(|(largest, _)| shortfall > largest) {
+                below_floor = Some((shortfall, rank));
+            }
+        }
+        below_floor
+            .map(|(_, rank)| rank)
+            .or_else(|| oldest_arrival_us.iter().position(Option::is_some))
+    }
+
+    fn record_dispatch(&mut self, rank: usize) {
+        self.dispatched[rank] += 1;
+        if self.total() >= Self::WINDOW {
+            self.dispatched.iter_mut().for_each(|count| *count /= 2);
+        }
+    }
+
+    fn floor_percent(&self, rank: usize) -> u32 {
+        self.floors_percent[rank]
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/lane.rs
@@ -0,0 +1,96 @@
+//! Queues of a database.
+
+use std::collections::VecDeque;
+
+use super::DispatchPolicy;
+use crate::WorkKey;
+use crate::arena::Arena;
+use crate::configuration::Service;
+
+use super::work::Work;
+
+/// The queues of one kind of instance, one for each rank.
+#[derive(Clone, Debug)]
+pub(crate) struct Lane<P> {
+    queues: Vec<VecDeque<WorkKey>>,
+    policy: P,
+    /// Smoothed time from dispatch to answer.
+    service_time_us: u64,
+}
+
+impl<P: DispatchPolicy> Lane<P> {
+    /// Weight of a new observation in the smoothed service time is one part in this many.
+    const SMOOTHING: u64 = 8;
+
+    pub(crate) fn new(service: &Service) -> Self {
+        Self {
+            queues: vec![VecDeque::new(); service.ranks.len()],
+            policy: P::new(service),
+            service_time_us: 0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, rank: usize, work: WorkKey) {
+        self.queues[rank].push_back(work);
+    }
+
+    pub(crate) fn queue_len(&self, rank: usize) -> usize {
+        self.queues[rank].len()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+
+    /// Chooses the rank to serve next. Keys of requests that have ended are dropped on the way.
+    pub(crate) fn choose(&mut self, works: &Arena<WorkKey, Work>) -> Option<(usize, WorkKey)> {
+        let mut arrivals_us = Vec::with_capacity(self.queues.len());
+        for queue in &mut self.queues {
+            while queue.front().is_some_and(|&key| !works.contains(key)) {
+                queue.pop_front();
+            }
+            let oldest = queue.front().and_then(|&key| works.get(key));
+            arrivals_us.push(oldest.map(|work| work.arrived_us));
+        }
+        let rank = self.policy.choose(&arrivals_us)?;
+        Some((rank, *self.queues[rank].front()?))
+    }
+
+    /// Takes the chosen request out of its queue to run it.
+    pub(crate) fn dispatch(&mut self, rank: usize) {
+        self.queues[rank].pop_front();
+        self.policy.record_dispatch(rank);
+    }
+
+    /// Takes the chosen request out of its queue without running it.
+    pub(crate) fn remove_head(&mut self, rank: usize) {
+        self.queues[rank].pop_front();
+    }
+
+    /// Removes and returns all requests.
+    pub(crate) fn drain(&mut self) -> Vec<WorkKey> {
+        self.queues.iter_mut().flat_map(|queue| queue.drain(..)).collect()
+    }
+
+    pub(crate) fn record_service_time(&mut self, service_time_us: u64) {
+        if self.service_time_us == 0 {
+            self.service_time_us = service_time_us;
+            return;
+        }
+        let weighted_us = self.service_time_us * (Self::SMOOTHING - 1) + service_time_us;
+        self.service_time_us = weighted_us / Self::SMOOTHING;
+    }
+
+    /// Expected wait of a new request: behind all work that is as urgent, or, if that is sooner, behind
+    /// the work of its own rank at the rank's floor.
+    pub(crate) fn expected_wait_us(&self, rank: usize, slots: u64) -> u64 {
+        let ahead: usize = self.queues[..=rank].iter().map(VecDeque::len).sum();
+        let by_priority_us = self.service_time_us * ahead as u64 / slots;
+        let floor_percent = u64::from(self.policy.floor_percent(rank));
+        if floor_percent == 0 {
+            return by_priority_us;
+        }
+        let own = self.queues[rank].len() as u64;
+        by_priority_us.min(self.service_time_us * own * 100 / (slots * floor_percent))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/systems.rs
@@ -0,0 +1,31 @@
+//! The systems of the traffic machine, plain functions that run over its tables.
+//!
+//! A request passes them in this order: [`route`] sends it to the owner of its database, [`receive`]
+//! admits it there, [`dispatch`] runs it on a connection, [`take_in`] takes the backend server's answer,
+//! [`confirm`] releases the answer, and [`deliver`] gives it to the caller.
+
+mod admission;
+mod completion;
+mod confirmation;
+mod connecting;
+mod delivery;
+mod dispatching;
+mod expiry;
+mod finishing;
+mod intake;
+mod probing;
+mod quiescence;
+mod receiving;
+mod reconfiguration;
+mod routing;
+
+pub(crate) use confirmation::confirm;
+pub(crate) use connecting::connect;
+pub(crate) use delivery::deliver;
+pub(crate) use dispatching::dispatch;
+pub(crate) use expiry::{expire, next_deadline_us};
+pub(crate) use intake::take_in;
+pub(crate) use probing::probe;
+pub(crate) use quiescence::report_quiescence;
+pub(crate) use receiving::receive;
+pub(crate) use routing::{admit_caller, route};
--- /dev/null
+++ b/crates/core/src/traffic/systems/admission.rs
@@ -0,0 +1,166 @@
+//! Owner side: whether a request is taken, and where it waits.
+
+use super::finishing;
+use crate::message::{ExecuteRequest, Outcome, TrafficMessage};
+use crate::traffic::DispatchPolicy;
+use crate::traffic::database_state::DatabaseState;
+use crate::traffic::tables::Tables;
+use crate::traffic::work::{Work, WorkState};
+use crate::{HostId, ResultCode, StatementKind};
+
+/// What is done with a request that has arrived at the owner of its database.
+enum Admission {
+    /// It is a statement of an open transaction.
+    JoinTransaction,
+    /// It must know the primary's position first.
+    AwaitToken,
+    /// It needs the primary.
+    QueueForPrimary,
+    /// A replica may serve it.
+    QueueForReplica,
+    /// It is not run.
+    Refuse(ResultCode),
+}
+
+/// Takes a request into the table, or refuses it.
+pub(super) fn admit<P: DispatchPolicy>(
+    tables: &mut Tables<P>,
+    origin: HostId,
+    mut request: ExecuteRequest,
+) {
+    discard_earlier_attempt(tables, origin, &request);
+    if let Some(database) = tables.databases.get_mut(&request.database) {
+        // Refused requests count too: probes must go on, or a missing majority would never be seen to
+        // have come back.
+        database.last_request_us = tables.now_us;
+    }
+    let admission = decide(tables, origin, &request);
+    if let Admission::Refuse(code) = admission {
+        refuse_arrival(tables, origin, &request, code);
+        return;
+    }
+    let now_us = tables.now_us;
+    let Some(database) = tables.databases.get_mut(&request.database) else { return };
+    request.max_staleness_us = request.max_staleness_us.min(database.service.max_staleness_us);
+    let index_key = (origin, request.entry_thread, request.request);
+    let rank = usize::from(request.rank.0);
+    let transaction = request.transaction;
+    let deadline_us = now_us + request.remaining_us;
+    let state = match admission {
+        Admission::AwaitToken => WorkState::AwaitingToken,
+        _ => WorkState::Queued,
+    };
+    let key = tables.works.insert(Work { origin, request, arrived_us: now_us, deadline_us, state });
+    match admission {
+        Admission::JoinTransaction => database.transaction_queue.push_back(key),
+        Admission::AwaitToken => {
+            database.awaiting_token.push(key);
+            database.newest_wait_us = now_us;
+        }
+        Admission::QueueForPrimary => database.primary_lane.push(rank, key),
+        Admission::QueueForReplica => database.replica_lane.push(rank, key),
+        Admission::Refuse(_) => {}
+    }
+    tables.work_index.insert(index_key, key);
+    tables.work_deadlines.insert(deadline_us, key);
+    if let Some(transaction) = transaction {
+        finishing::stop_idle_timer(tables, transaction);
+    }
+}
+
+/// Drops a former attempt of the same request. Only reads are sent twice, after a broken link that
+/// this host has not noticed yet.
+fn discard_earlier_attempt<P: DispatchPolicy>(
+    tables: &mut Tables<P>,
+    origin: HostId,
+    request: &ExecuteRequest,
+) {
+    let index_key = (origin, request.entry_thread, request.request);
+    if let Some(&earlier) = tables.work_index.get(&index_key) {
+        finishing::discard(tables, earlier);
+    }
+}
+
+fn decide<P: DispatchPolicy>(
+    tables: &Tables<P>,
+    origin: HostId,
+    request: &ExecuteRequest,
+) -> Admission {
+    let Some(database) = tables.databases.get(&request.database) else {
+        return Admission::Refuse(ResultCode::WrongOwner);
+    };
+    if usize::from(request.rank.0) >= database.service.ranks.len() {
+        return Admission::Refuse(ResultCode::UnknownRank);
+    }
+    if let Some(key) = request.transaction {
+        let transaction = tables
+            .transactions
+            .get(key)
+            .filter(|row| row.origin == origin && row.database == request.database);
+        return match transaction {
+            Some(_) => Admission::JoinTransaction,
+            None => Admission::Refuse(ResultCode::TransactionLost),
+        };
+    }
+    let newer_term = request.token.is_some_and(|token| token.term > database.served.term);
+    if !database.served.admits || newer_term {
+        return Admission::Refuse(ResultCode::WrongOwner);
+    }
+    choose_queue(database, request, tables.now_us)
+}
+
+fn choose_queue<P: DispatchPolicy>(
+    database: &DatabaseState<P>,
+    request: &ExecuteRequest,
+    now_us: u64,
+) -> Admission {
+    let max_staleness_us = request.max_staleness_us.min(database.service.max_staleness_us);
+    let accepts_stale = request.kind == StatementKind::Read && max_staleness_us > 0;
+    let needs_majority = !accepts_stale || request.token.is_none();
+    if needs_majority && database.primary().is_some() && database.lacks_majority(now_us) {
+        return Admission::Refuse(ResultCode::NoConfirmingReplica);
+    }
+    if let Some(code) = refuse_for_load(database, request, accepts_stale) {
+        return Admission::Refuse(code);
+    }
+    match (accepts_stale, request.token) {
+        (true, Some(_)) => Admission::QueueForReplica,
+        (true, None) => Admission::AwaitToken,
+        (false, _) => Admission::QueueForPrimary,
+    }
+}
+
+/// Refuses a request whose queue is full or whose expected wait passes its deadline.
+fn refuse_for_load<P: DispatchPolicy>(
+    database: &DatabaseState<P>,
+    request: &ExecuteRequest,
+    accepts_stale: bool,
+) -> Option<ResultCode> {
+    let rank = usize::from(request.rank.0);
+    let lane = if accepts_stale { &database.replica_lane } else { &database.primary_lane };
+    if lane.queue_len(rank) >= database.service.queue_limit as usize {
+        return Some(ResultCode::QueueFull);
+    }
+    let slots: u64 = if accepts_stale {
+        database.replicas().map(|replica| u64::from(replica.settings.slots)).sum()
+    } else {
+        database.primary().map_or(1, |primary| u64::from(primary.settings.slots))
+    };
+    let wait_us = lane.expected_wait_us(rank, slots.max(1));
+    (wait_us > request.remaining_us).then_some(ResultCode::Overloaded)
+}
+
+fn refuse_arrival<P>(
+    tables: &mut Tables<P>,
+    origin: HostId,
+    request: &ExecuteRequest,
+    code: ResultCode,
+) {
+    let message = TrafficMessage::Answer {
+        database: request.database,
+        entry_thread: request.entry_thread,
+        request: request.request,
+        outcome: Outcome::Refused { code },
+    };
+    tables.send(origin, message);
+}
--- /dev/null
+++ b/crates/core/src/traffic/systems/connecting.rs
@@ -0,0 +1,143 @@
+//! Owner side: connections to backend servers.
+
+use crate::traffic::connection::{Connection, ConnectionState};
+use crate::traffic::instance_state::InstanceState;
+use crate::traffic::tables::Tables;
+use crate::traffic::{Action, DispatchPolicy};
+use crate::{ConnectionKey, InstanceId, View};
+
+/// Opens connections that are needed and closes those to leaving hosts.
+pub(crate) fn connect<P: DispatchPolicy>(tables: &mut Tables<P>) {
+    let Tables { databases, connections, actions, view, now_us, .. } = tables;
+    for database in databases.values_mut() {
+        if database.primary().is_none() {
+            continue;
+        }
+        for instance in &mut database.instances {
+            if view.is_leaving(instance.id) {
+                close_idle(instance, connections, actions);
+                continue;
+            }
+            for _ in 0..missing_connections(instance, *now_us) {
+                instance.open += 1;
+                instance.opening += 1;
+                let connection = connections.insert(Connection {
+                    instance: instance.id,
+                    state: ConnectionState::Opening,
+                    transaction: None,
+                    needs_reset: false,
+                });
+                actions.push(Action::OpenConnection { connection, instance: instance.id });
+            }
+        }
+    }
+}
+
+/// Number of connections to open now. As many as there are slots are kept open in advance, because a
+/// new connection costs about 12 ms; more are opened when transactions hold the others.
+fn missing_connections(instance: &InstanceState, now_us: u64) -> u16 {
+    if now_us < instance.connect_after_us {
+        return 0;
+    }
+    let in_advance = instance.settings.slots.saturating_sub(instance.open);
+    let on_demand = instance.wanted.saturating_sub(instance.opening);
+    in_advance.max(on_demand).min(instance.connection_headroom())
+}
+
+fn close_idle(
+    instance: &mut InstanceState,
+    connections: &mut crate::arena::Arena<ConnectionKey, Connection>,
+    actions: &mut Vec<Action>,
+) {
+    for connection in std::mem::take(&mut instance.idle) {
+        connections.remove(connection);
+        instance.open -= 1;
+        actions.push(Action::CloseConnection { connection });
+    }
+}
+
+/// Earliest time at which a delayed connection attempt is due.
+pub(super) fn next_attempt_us(view: &View, instance: &InstanceState, now_us: u64) -> Option<u64> {
+    let delayed = instance.connect_after_us > now_us && !view.is_leaving(instance.id);
+    let needed = instance.open < instance.settings.slots || instance.wanted > instance.opening;
+    (delayed && needed).then_some(instance.connect_after_us)
+}
+
+/// Takes a connection that has been opened into use.
+pub(super) fn record_opened<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get(key) else { return };
+    if connection.state != ConnectionState::Opening {
+        return;
+    }
+    let instance = connection.instance;
+    if let Some(state) = instance_mut(tables, instance) {
+        state.opening -= 1;
+        state.connect_failures = 0;
+    }
+    make_idle(tables, key);
+}
+
+/// Takes a connection that has been reset into use again.
+pub(super) fn record_reset<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get_mut(key) else { return };
+    if connection.state == ConnectionState::Resetting {
+        connection.needs_reset = false;
+        make_idle(tables, key);
+    }
+}
+
+/// Frees a connection that no transaction holds, after a reset if session state may be left over.
+pub(super) fn release<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get(key) else { return };
+    if connection.needs_reset {
+        reset(tables, key);
+    } else {
+        make_idle(tables, key);
+    }
+}
+
+fn make_idle<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get_mut(key) else { return };
+    connection.state = ConnectionState::Idle;
+    let instance = connection.instance;
+    match instance_mut(tables, instance) {
+        Some(state) => state.idle.push(key),
+        None => close(tables, key),
+    }
+}
+
+/// Rolls back what is open on a connection and clears its session state.
+pub(super) fn reset<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get_mut(key) else { return };
+    connection.state = ConnectionState::Resetting;
+    tables.actions.push(Action::ResetConnection { connection: key });
+}
+
+/// Closes a connection, whatever it does.
+pub(super) fn close<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    if tables.connections.contains(key) {
+        forget(tables, key, false);
+        tables.actions.push(Action::CloseConnection { connection: key });
+    }
+}
+
+/// Removes a connection from the tables.
+pub(super) fn forget<P>(tables: &mut Tables<P>, key: ConnectionKey, connect_failed: bool) {
+    let Some(connection) = tables.connections.remove(key) else { return };
+    let now_us = tables.now_us;
+    let Some(state) = instance_mut(tables, connection.instance) else { return };
+    state.open -= 1;
+    state.idle.retain(|&idle| idle != key);
+    match connection.state {
+        ConnectionState::Opening => state.opening -= 1,
+        ConnectionState::Running(_) => state.running -= 1,
+        ConnectionState::Idle | ConnectionState::Resetting => {}
+    }
+    if connect_failed {
+        state.record_connect_failure(now_us);
+    }
+}
+
+fn instance_mut<P>(tables: &mut Tables<P>, id: InstanceId) -> Option<&mut InstanceState> {
+    tables.databases.get_mut(&id.database)?.instances.get_mut(usize::from(id.index))
+}
--- /dev/null
+++ b/crates/core/src/traffic/systems/delivery.rs
@@ -0,0 +1,133 @@
+//! Entry side: from the outcome of a request to its caller.
+
+use crate::message::{Outcome, TrafficMessage};
+use crate::traffic::caller::SessionTransaction;
+use crate::traffic::entry_request::{EntryRequest, EntryState};
+use crate::traffic::tables::Tables;
+use crate::traffic::{Action, RankCounters};
+use crate::{
+    CallerKey, DatabaseId, RequestKey, ResultCode, StatementKind, TransactionKey, TransactionStatus,
+};
+
+use super::routing;
+
+/// Delivers the outcomes that have arrived to their callers.
+pub(crate) fn deliver<P>(tables: &mut Tables<P>) {
+    while let Some((key, outcome)) = tables.outcomes.pop_front() {
+        match outcome {
+            Outcome::Refused { code: ResultCode::WrongOwner } if may_reroute(tables, key) => {
+                routing::await_owner(tables, key);
+            }
+            outcome => end_request(tables, key, outcome),
+        }
+    }
+}
+
+/// Whether a request that an owner turned away can go to another one.
+fn may_reroute<P>(tables: &Tables<P>, key: RequestKey) -> bool {
+    let request = tables.requests.get(key);
+    request.is_some_and(|request| tables.now_us < request.deadline_us)
+        && !routing::in_transaction(tables, key)
+}
+
+fn end_request<P>(tables: &mut Tables<P>, key: RequestKey, outcome: Outcome) {
+    let Some(request) = tables.requests.remove(key) else { return };
+    tables.request_deadlines.remove(request.expires_us, key);
+    count_outcome(tables, &request, &outcome);
+    match outcome {
+        Outcome::Answered { answer, status, transaction, token, .. } => {
+            let Some(caller) = tables.callers.get_mut(request.caller) else { return };
+            caller.in_flight = None;
+            caller.advance_token(token);
+            caller.transaction = match (transaction, request.state) {
+                (Some(key), EntryState::Sent { owner }) => {
+                    SessionTransaction::Open { owner, key, status }
+                }
+                _ => SessionTransaction::None,
+            };
+            tables.actions.push(Action::Deliver { caller: request.caller, answer, status });
+        }
+        Outcome::Refused { code } => {
+            let status = settle_refusal(tables, &request);
+            tables.actions.push(Action::Refuse { caller: request.caller, code, status });
+        }
+    }
+    close_if_draining(tables, request.caller);
+}
+
+/// Settles the session of a caller whose request was refused, and returns the transaction status that
+/// the caller is told. A transaction cannot go on without one of its statements.
+fn settle_refusal<P>(tables: &mut Tables<P>, request: &EntryRequest) -> TransactionStatus {
+    if let Some(caller) = tables.callers.get_mut(request.caller) {
+        caller.in_flight = None;
+    }
+    routing::abandon_transaction(tables, request.caller);
+    let Some(caller) = tables.callers.get_mut(request.caller) else {
+        return TransactionStatus::Idle;
+    };
+    if request.request.kind == StatementKind::EndTransaction {
+        caller.transaction = SessionTransaction::None;
+    }
+    caller.transaction.status()
+}
+
+/// Disconnects a caller at a transaction boundary if the proxy is shutting down.
+pub(super) fn close_if_draining<P>(tables: &mut Tables<P>, caller_key: CallerKey) {
+    if !tables.view.draining {
+        return;
+    }
+    if tables.callers.get(caller_key).is_some_and(|caller| caller.is_at_boundary()) {
+        let code = ResultCode::ShuttingDown;
+        tables.actions.push(Action::CloseCaller { caller: caller_key, code });
+    }
+}
+
+/// Handles the answer to a request that the caller has abandoned: a transaction that it opened must
+/// not stay open.
+pub(super) fn drop_answer<P>(
+    tables: &mut Tables<P>,
+    owner: crate::HostId,
+    database: DatabaseId,
+    transaction: Option<TransactionKey>,
+) {
+    if let Some(transaction) = transaction {
+        tables.send(owner, TrafficMessage::EndTransaction { database, transaction });
+    }
+}
+
+/// Counts a request whose caller has disconnected.
+pub(super) fn count_abandoned<P>(tables: &mut Tables<P>, key: RequestKey) {
+    let Some(request) = tables.requests.get(key).cloned() else { return };
+    if let Some((counters, _)) = counters_of(tables, &request) {
+        counters.abandoned += 1;
+    }
+}
+
+fn count_outcome<P>(tables: &mut Tables<P>, request: &EntryRequest, outcome: &Outcome) {
+    let latency_us = tables.now_us.saturating_sub(request.arrived_us);
+    let is_stale_read =
+        request.request.kind == StatementKind::Read && request.request.max_staleness_us > 0;
+    let Some((counters, target_latency_us)) = counters_of(tables, request) else { return };
+    match outcome {
+        Outcome::Answered { by_replica, .. } => {
+            counters.record_answer(latency_us, target_latency_us);
+            counters.reads += u64::from(is_stale_read);
+            counters.replica_reads += u64::from(is_stale_read && *by_replica);
+        }
+        Outcome::Refused { code } => counters.record_refusal(code.class()),
+    }
+}
+
+/// The counters of a request's rank and the rank's target latency.
+fn counters_of<'a, P>(
+    tables: &'a mut Tables<P>,
+    request: &EntryRequest,
+) -> Option<(&'a mut RankCounters, u64)> {
+    let caller = tables.callers.get(request.caller)?;
+    let configuration = &tables.view.configuration;
+    let service = configuration.service_of(configuration.database(caller.database)?);
+    let rank = service.rank(request.request.rank)?;
+    let entry = tables.counters.iter_mut().find(|entry| entry.service == service.name)?;
+    let (_, counters) = entry.ranks.iter_mut().find(|(name, _)| *name == rank.name)?;
+    Some((counters, rank.target_latency_us))
+}
--- /dev/null
+++ b/crates/core/src/traffic/systems/expiry.rs
@@ -0,0 +1,104 @@
+//! Deadlines of both sides.
+
+use super::{connecting, finishing, probing, routing};
+use crate::traffic::entry_request::EntryState;
+use crate::traffic::tables::Tables;
+use crate::traffic::work::WorkState;
+use crate::traffic::{Action, DispatchPolicy};
+use crate::{ConnectionKey, ResultCode, StatementKind, WorkKey};
+
+/// Time that a backend server gets to end a cancelled statement before its connection is closed.
+const CANCEL_GRACE_US: u64 = 200_000;
+
+/// Handles every deadline that has been reached.
+pub(crate) fn expire<P: DispatchPolicy>(tables: &mut Tables<P>) {
+    let now_us = tables.now_us;
+    while let Some(key) = tables.route_retries.pop_due(now_us) {
+        let state = tables.requests.get(key).map(|request| request.state);
+        if matches!(state, Some(EntryState::AwaitingOwner { retry_us }) if retry_us <= now_us) {
+            tables.unrouted.push(key);
+        }
+    }
+    while let Some(key) = tables.request_deadlines.pop_due(now_us) {
+        routing::expire_request(tables, key);
+    }
+    while let Some(key) = tables.work_deadlines.pop_due(now_us) {
+        expire_work(tables, key);
+    }
+    while let Some(key) = tables.transaction_deadlines.pop_due(now_us) {
+        finishing::abort_transaction(tables, key);
+    }
+}
+
+fn expire_work<P: DispatchPolicy>(tables: &mut Tables<P>, key: WorkKey) {
+    let Some(work) = tables.works.get(key) else { return };
+    let (kind, in_transaction) = (work.request.kind, work.request.transaction.is_some());
+    match work.state {
+        WorkState::AwaitingToken => {
+            finishing::refuse(tables, key, ResultCode::NoConfirmingReplica);
+        }
+        WorkState::Queued => {
+            let database = tables.databases.get(&work.request.database);
+            let has_primary = database.is_some_and(|database| database.primary().is_some());
+            let code = if has_primary { ResultCode::QueueDeadline } else { ResultCode::NoPrimary };
+            finishing::refuse(tables, key, code);
+        }
+        WorkState::Running { connection, cancelled: false, .. } => {
+            cancel_running(tables, key, connection);
+        }
+        WorkState::Running { connection, cancelled: true, .. } => {
+            connecting::close(tables, connection);
+            finishing::refuse(tables, key, code_of_abandoned(kind, in_transaction));
+        }
+        WorkState::AwaitingConfirmation(_) => {
+            finishing::refuse(tables, key, code_of_unconfirmed(kind));
+        }
+    }
+}
+
+fn cancel_running<P>(tables: &mut Tables<P>, key: WorkKey, connection: ConnectionKey) {
+    let Some(work) = tables.works.get_mut(key) else { return };
+    if let WorkState::Running { cancelled, .. } = &mut work.state {
+        *cancelled = true;
+    }
+    work.deadline_us = tables.now_us + CANCEL_GRACE_US;
+    tables.work_deadlines.insert(work.deadline_us, key);
+    tables.actions.push(Action::CancelConnection { connection });
+}
+
+/// Result of a statement whose connection was closed because it did not end in time.
+fn code_of_abandoned(kind: StatementKind, in_transaction: bool) -> ResultCode {
+    match (kind, in_transaction) {
+        (StatementKind::Read | StatementKind::Begin, _) | (StatementKind::Write, true) => {
+            ResultCode::StatementTimeout
+        }
+        _ => ResultCode::AbandonedRunning,
+    }
+}
+
+/// Result of a statement that ran and was not confirmed in time.
+fn code_of_unconfirmed(kind: StatementKind) -> ResultCode {
+    match kind {
+        StatementKind::Read | StatementKind::Begin => ResultCode::StatementTimeout,
+        _ => ResultCode::Unconfirmed,
+    }
+}
+
+/// The earliest time at which the machine has something to do on its own.
+pub(crate) fn next_deadline_us<P: DispatchPolicy>(tables: &Tables<P>) -> Option<u64> {
+    let indexed = [
+        tables.route_retries.next_us(),
+        tables.request_deadlines.next_us(),
+        tables.work_deadlines.next_us(),
+        tables.transaction_deadlines.next_us(),
+    ];
+    let of_instances = tables.databases.values().flat_map(|database| {
+        database.instances.iter().enumerate().flat_map(|(index, instance)| {
+            [
+                probing::next_probe_us(database, index),
+                connecting::next_attempt_us(&tables.view, instance, tables.now_us),
+            ]
+        })
+    });
+    indexed.into_iter().chain(of_instances).flatten().min()
+}
--- /dev/null
+++ b/crates/core/src/traffic/systems/intake.rs
@@ -0,0 +1,37 @@
+//! Distribution of events to the systems that handle them.
+
+use super::{completion, connecting, probing, receiving, reconfiguration, routing};
+use crate::traffic::tables::Tables;
+use crate::traffic::{DispatchPolicy, Event};
+
+/// Hands an event to the system that it concerns.
+pub(crate) fn take_in<P: DispatchPolicy>(tables: &mut Tables<P>, event: Event) {
+    match event {
+        Event::ViewChanged(view) => reconfiguration::apply_view(tables, view),
+        Event::RequestReceived { caller, request } => {
+            routing::accept_request(tables, caller, request);
+        }
+        Event::CancelRequested { caller } => routing::cancel_request(tables, caller),
+        Event::CallerClosed { caller } => routing::close_caller(tables, caller),
+        Event::MessageReceived { from, message } => tables.inbound.push_back((from, message)),
+        Event::SendFailed { host, request } => {
+            routing::record_send_failure(tables, host, request);
+        }
+        Event::LinkLost { host } => {
+            routing::record_link_loss(tables, host);
+            receiving::drop_origin(tables, host);
+        }
+        Event::ConnectionOpened { connection } => connecting::record_opened(tables, connection),
+        Event::ConnectionLost { connection, reason } => {
+            completion::record_loss(tables, connection, reason);
+        }
+        Event::ConnectionReset { connection } => connecting::record_reset(tables, connection),
+        Event::BackendAnswered { connection, work, answer, status, failed } => {
+            let answer = completion::BackendAnswer { answer, status, failed };
+            completion::record_answer(tables, connection, work, answer);
+        }
+        Event::Probed { instance, probe_number, result } => {
+            probing::record_probe(tables, instance, probe_number, result);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/tables.rs
@@ -0,0 +1,102 @@
+//! The tables of the traffic machine.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+use super::caller::Caller;
+use super::connection::Connection;
+use super::database_state::DatabaseState;
+use super::deadlines::Deadlines;
+use super::entry_request::EntryRequest;
+use super::retry_budget::RetryBudget;
+use super::transaction::Transaction;
+use super::work::Work;
+use super::{Action, ServiceCounters, TrafficConfig};
+use crate::arena::Arena;
+use crate::message::{Outcome, TrafficMessage};
+use crate::{
+    CallerKey, ConnectionKey, DatabaseId, HostId, RequestKey, TransactionKey, View, WorkKey,
+};
+
+/// All rows of the traffic machine, and what the systems of one tick hand to each other.
+#[derive(Debug)]
+pub(crate) struct Tables<P> {
+    pub(crate) config: TrafficConfig,
+    pub(crate) now_us: u64,
+    pub(crate) view: Arc<View>,
+
+    // Entry side.
+    pub(crate) callers: Arena<CallerKey, Caller>,
+    pub(crate) requests: Arena<RequestKey, EntryRequest>,
+    pub(crate) request_deadlines: Deadlines<RequestKey>,
+    pub(crate) route_retries: Deadlines<RequestKey>,
+    pub(crate) unrouted: Vec<RequestKey>,
+    /// Outcomes that have arrived or were decided here, to be delivered to callers.
+    pub(crate) outcomes: VecDeque<(RequestKey, Outcome)>,
+    pub(crate) counters: Vec<ServiceCounters>,
+
+    // Owner side.
+    pub(crate) databases: BTreeMap<DatabaseId, DatabaseState<P>>,
+    pub(crate) works: Arena<WorkKey, Work>,
+    /// Finds the work of a request by its origin.
+    pub(crate) work_index: HashMap<(HostId, u8, RequestKey), WorkKey>,
+    pub(crate) work_deadlines: Deadlines<WorkKey>,
+    pub(crate) connections: Arena<ConnectionKey, Connection>,
+    pub(crate) transactions: Arena<TransactionKey, Transaction>,
+    pub(crate) transaction_deadlines: Deadlines<TransactionKey>,
+    pub(crate) next_probe_number: u64,
+
+    // Both sides.
+    pub(crate) retry_budget: RetryBudget,
+    /// Messages to this thread, from other threads and hosts and from itself.
+    pub(crate) inbound: VecDeque<(HostId, TrafficMessage)>,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl<P> Tables<P> {
+    pub(crate) fn new(config: TrafficConfig) -> Self {
+        Self {
+            config,
+            now_us: 0,
+            view: Arc::new(View::default()),
+            callers: Arena::new(),
+            requests: Arena::new(),
+            request_deadlines: Deadlines::new(),
+            route_retries: Deadlines::new(),
+            unrouted: Vec::new(),
+            outcomes: VecDeque::new(),
+            counters: Vec::new(),
+            databases: BTreeMap::new(),
+            works: Arena::new(),
+            work_index: HashMap::new(),
+            work_deadlines: Deadlines::new(),
+            connections: Arena::new(),
+            transactions: Arena::new(),
+            transaction_deadlines: Deadlines::new(),
+            next_probe_number: 1,
+            retry_budget: RetryBudget::new(),
+            inbound: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Sends a message to the thread that it is for. A message to this thread is handled in the same
+    /// tick.
+    pub(crate) fn send(&mut self, host: HostId, message: TrafficMessage) {
+        let thread = match &message {
+            TrafficMessage::Execute(request) => self.config.thread_of(request.database),
+            TrafficMessage::Cancel { database, .. }
+            | TrafficMessage::EndTransaction { database, .. } => self.config.thread_of(*database),
+            TrafficMessage::Answer { entry_thread, .. } => *entry_thread,
+        };
+        if host == self.config.host && thread == self.config.thread {
+            self.inbound.push_back((host, message));
+            return;
+        }
+        let request = match &message {
+            TrafficMessage::Execute(request) => Some(request.request),
+            _ => None,
+        };
+        self.actions.push(Action::Send { host, request, message });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/traffic.rs
@@ -0,0 +1,57 @@
+//! The path of a request through the traffic machine.
+
+mod traffic_support;
+
+use flamingorock_core::{StatementKind, Term, TransactionStatus};
+use traffic_support::{Bench, configuration, service, view};
+
+fn bench() -> Bench {
+    Bench::new(view(configuration(service())))
+}
+
+/// Guards against a write that is acknowledged before a majority of instances has it.
+#[test]
+fn write_is_answered_after_replication() {
+    let mut bench = bench();
+    let term = Term::first_of_epoch(1);
+    let caller = bench.caller();
+    let run = bench.request(caller, StatementKind::Write, "insert");
+    bench.now_us += 1_000;
+    let probes = bench.answer(&run, TransactionStatus::Idle);
+    bench.now_us += 1_000;
+    let probes = bench.answer_probes(&probes, term, [7, 6, 6]);
+    bench.now_us += 1_000;
+    bench.answer_probes(&probes, term, [7, 7, 6]);
+    insta::assert_snapshot!(bench.transcript);
+}
+
+/// Guards against a read of a new session that misses what was acknowledged before it began.
+#[test]
+fn first_read_of_a_session_waits_for_a_confirmed_position() {
+    let mut bench = bench();
+    let term = Term::first_of_epoch(1);
+    let caller = bench.caller();
+    bench.now_us += 1_000;
+    let probes = bench.request(caller, StatementKind::Read, "select");
+    bench.now_us += 1_000;
+    let run = bench.answer_probes(&probes, term, [7, 6, 7]);
+    bench.now_us += 1_000;
+    bench.answer(&run, TransactionStatus::Idle);
+    insta::assert_snapshot!(bench.transcript);
+}
+
+/// Guards against an acknowledgement by a primary whose replicas have accepted a higher term.
+#[test]
+fn write_at_a_superseded_primary_is_not_acknowledged() {
+    let mut bench = bench();
+    let caller = bench.caller();
+    let run = bench.request(caller, StatementKind::Write, "insert");
+    bench.now_us += 1_000;
+    let probes = bench.answer(&run, TransactionStatus::Idle);
+    bench.now_us += 1_000;
+    let higher = Term::first_of_epoch(2);
+    bench.answer_probes(&probes[..1], Term::first_of_epoch(1), [7, 7, 7]);
+    bench.answer_probes(&probes[1..], higher, [7, 7, 7]);
+    bench.advance(4_998_000);
+    insta::assert_snapshot!(bench.transcript);
+}
