--- a/crates/core/src/traffic/action.rs
+++ b/crates/core/src/traffic/action.rs
@@ -30,7 +30,8 @@
         /// Transaction status of the caller's session from now on.
         status: TransactionStatus,
     },
-    /// Close the caller's connection at this transaction boundary.
+    /// Tell the caller the reason and close its connection at this transaction boundary. Requests that
+    /// arrive afterwards do not run.
     CloseCaller {
         /// The caller.
         caller: CallerKey,
