--- /dev/null
+++ b/crates/config/src/settings/listen.rs
@@ -0,0 +1,45 @@
+//! Section `listen`.
+
+use core::net::SocketAddr;
+
+use crate::section_reader::SectionReader;
+use crate::value::Address;
+
+/// Addresses that the process listens on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListenSettings {
+    /// PostgreSQL protocol, TCP.
+    pub callers: SocketAddr,
+    /// Other proxies, TCP and UDP on the same port.
+    pub peers: SocketAddr,
+    /// Metrics and admin port, HTTP.
+    pub admin: SocketAddr,
+}
+
+impl ListenSettings {
+    pub(super) fn read(reader: &mut SectionReader<'_>) -> Option<Self> {
+        let callers = reader.required("callers", &Address::LISTEN);
+        let peers = reader.required("peers", &Address::LISTEN);
+        let admin = reader.required("admin", &Address::LISTEN);
+        let listen = Self { callers: callers?, peers: peers?, admin: admin? };
+        let clashes = [
+            ("peers", listen.peers, "callers", listen.callers),
+            ("admin", listen.admin, "callers", listen.callers),
+            ("admin", listen.admin, "peers", listen.peers),
+        ];
+        for (key, address, other_key, other) in clashes {
+            if clash(address, other) {
+                let found = format!("\"{address}\", which clashes with the key {other_key}");
+                reader.error(key, &found, "an address that no other key has");
+            }
+        }
+        Some(listen)
+    }
+}
+
+/// Whether two sockets of one host cannot both listen. The address of all interfaces includes every
+/// other address.
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() == b.port() && same_ip
+}
--- /dev/null
+++ b/crates/config/src/settings/log_level.rs
@@ -0,0 +1,34 @@
+//! Levels of log lines.
+
+use derive_more::Display;
+
+/// Least level of log lines that are written.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+pub enum LogLevel {
+    /// Errors only.
+    #[display("error")]
+    Error,
+    /// Warnings and above.
+    #[display("warn")]
+    Warn,
+    /// Changes of state and above.
+    #[default]
+    #[display("info")]
+    Info,
+    /// Details for finding faults and above.
+    #[display("debug")]
+    Debug,
+    /// Everything.
+    #[display("trace")]
+    Trace,
+}
+
+impl LogLevel {
+    pub(super) const WORDS: [(&'static str, Self); 5] = [
+        ("error", Self::Error),
+        ("warn", Self::Warn),
+        ("info", Self::Info),
+        ("debug", Self::Debug),
+        ("trace", Self::Trace),
+    ];
+}
--- /dev/null
+++ b/crates/config/src/value/prefix.rs
@@ -0,0 +1,19 @@
+//! Prefixes of keys.
+
+use super::{Name, ValueKind};
+
+/// Names separated by `/`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Prefix;
+
+impl ValueKind for Prefix {
+    type Value = String;
+
+    fn parse(&self, text: &str) -> Option<String> {
+        text.split('/').all(|part| Name.parse(part).is_some()).then(|| text.to_owned())
+    }
+
+    fn allowed(&self) -> String {
+        format!("names separated by /, each {}", Name.allowed())
+    }
+}
