Add the clients of the key-value service and the host list

The daemon and the command line call the platform over the Consul HTTP API and need to know, after a failed write, whether it may have taken effect.

ConsulStore and ConsulHostList make blocking calls over kept connections, each with a deadline and a bound on the answer. They ignore HTTP proxies of the environment and never repeat a call. Only errors that cannot occur on an established connection, answers with status 300 to 499 and local checks count as without effect. The types of the burn report are in the core crate, because the daemon fills them in.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod arena_key;
 
 pub mod arena;
+pub mod burn;
 pub mod configuration;
 pub mod control;
 mod database_id;
--- /dev/null
+++ b/crates/platform/src/consul/catalog_node.rs
@@ -0,0 +1,24 @@
+//! Nodes of the catalog API.
+
+use std::collections::BTreeMap;
+
+use flamingorock_core::control::HostEntry;
+use serde::Deserialize;
+
+/// A node as `GET /v1/catalog/nodes` reports it.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct CatalogNode {
+    node: String,
+    address: String,
+    meta: Option<BTreeMap<String, String>>,
+}
+
+impl CatalogNode {
+    /// The host, or `None` if its address is not an IP number: no instance can be on it.
+    pub(super) fn into_host(self) -> Option<HostEntry> {
+        let state = self.meta.as_ref().and_then(|meta| meta.get("state"));
+        let leaving = state.is_some_and(|state| state == "leaving");
+        Some(HostEntry { address: self.address.parse().ok()?, name: self.node, leaving })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/documents.rs
@@ -0,0 +1,134 @@
+//! Typed reads and writes of the keys that the fleet uses.
+
+use std::time::Instant;
+
+use flamingorock_core::control::OwnerRecord;
+
+use crate::indexed::encode;
+use crate::{HistoryRecord, Indexed, KeyValueStore, Keys, StoreError, StoredConfiguration, Swap};
+
+/// Reads the configuration document.
+///
+/// # Errors
+///
+/// The call failed, or the value is not a configuration document.
+pub fn read_configuration<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    deadline: Instant,
+) -> Result<Indexed<StoredConfiguration>, StoreError> {
+    let key = keys.configuration();
+    Indexed::decode(&key, &store.get(&key, deadline)?)
+}
+
+/// Waits until the index of the configuration document differs from `index` or the deadline passes,
+/// and reads the document.
+///
+/// # Errors
+///
+/// The call failed, or the value is not a configuration document.
+pub fn watch_configuration<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    index: u64,
+    deadline: Instant,
+) -> Result<Indexed<StoredConfiguration>, StoreError> {
+    let key = keys.configuration();
+    Indexed::decode(&key, &store.watch(&key, index, deadline)?)
+}
+
+/// Writes the configuration document if its index is still `index`.
+///
+/// # Errors
+///
+/// The call failed; it may have taken effect.
+pub fn swap_configuration<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    index: u64,
+    document: &StoredConfiguration,
+    deadline: Instant,
+) -> Result<Swap, StoreError> {
+    store.compare_and_swap(&keys.configuration(), index, &encode(document), deadline)
+}
+
+/// Reads the ownership record of a database.
+///
+/// # Errors
+///
+/// The call failed, or the value is not an ownership record.
+pub fn read_owner<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    database_name: &str,
+    deadline: Instant,
+) -> Result<Indexed<OwnerRecord>, StoreError> {
+    let key = keys.owner(database_name);
+    Indexed::decode(&key, &store.get(&key, deadline)?)
+}
+
+/// Writes the ownership record of a database if its index is still `index`.
+///
+/// # Errors
+///
+/// The call failed; it may have taken effect.
+pub fn swap_owner<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    database_name: &str,
+    index: u64,
+    record: &OwnerRecord,
+    deadline: Instant,
+) -> Result<Swap, StoreError> {
+    store.compare_and_swap(&keys.owner(database_name), index, &encode(record), deadline)
+}
+
+/// Reads a kept document.
+///
+/// # Errors
+///
+/// The call failed, or the value is not a kept document.
+pub fn read_history<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    version: u64,
+    apply_id: &str,
+    deadline: Instant,
+) -> Result<Option<HistoryRecord>, StoreError> {
+    let key = keys.history_record(version, apply_id);
+    Ok(Indexed::decode(&key, &store.get(&key, deadline)?)?.value)
+}
+
+/// Keeps a document. The key belongs to one apply, so that writing it again does no harm.
+///
+/// # Errors
+///
+/// The call failed; it may have taken effect.
+pub fn write_history<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    record: &HistoryRecord,
+    deadline: Instant,
+) -> Result<Swap, StoreError> {
+    let key = keys.history_record(record.document.version, &record.document.apply_id);
+    store.compare_and_swap(&key, 0, &encode(record), deadline)
+}
+
+/// Removes all kept documents of versions below `version`.
+///
+/// # Errors
+///
+/// A call failed; documents may have been removed.
+pub fn remove_history_below<S: KeyValueStore>(
+    store: &S,
+    keys: &Keys,
+    version: u64,
+    deadline: Instant,
+) -> Result<(), StoreError> {
+    for key in store.list(&keys.history(), deadline)? {
+        if keys.history_version(&key).is_some_and(|kept| kept < version) {
+            store.remove(&key, deadline)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/host_list.rs
@@ -0,0 +1,17 @@
+//! The host list.
+
+use std::time::Instant;
+
+use flamingorock_core::control::HostEntry;
+
+use crate::StoreError;
+
+/// The platform's list of hosts. The list lags behind the hosts' real state.
+pub trait HostList {
+    /// Reads the list, sorted by name.
+    ///
+    /// # Errors
+    ///
+    /// The call failed; a read has no effect.
+    fn read(&self, deadline: Instant) -> Result<Vec<HostEntry>, StoreError>;
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,33 @@
 //! Clients of the platform's key-value service and host list.
+//!
+//! [`KeyValueStore`] and [`HostList`] are the interfaces; [`ConsulStore`] and [`ConsulHostList`]
+//! implement them over the Consul HTTP API with blocking calls. Each call has a deadline. An error
+//! tells whether a write may have taken effect. On top of the traits, [`documents`] reads and writes
+//! the typed values of the design page, and [`carry_out`] answers the control machine's calls.
+
+mod carry_out;
+mod consul;
+pub mod documents;
+mod effect;
+mod entry;
+mod history_record;
+mod host_list;
+mod indexed;
+mod key_value_store;
+mod keys;
+mod store_error;
+mod stored_configuration;
+mod swap;
+
+pub use carry_out::{carry_out, try_carry_out};
+pub use consul::{ConsulHostList, ConsulStore};
+pub use effect::Effect;
+pub use entry::Entry;
+pub use history_record::HistoryRecord;
+pub use host_list::HostList;
+pub use indexed::Indexed;
+pub use key_value_store::KeyValueStore;
+pub use keys::Keys;
+pub use store_error::StoreError;
+pub use stored_configuration::StoredConfiguration;
+pub use swap::Swap;
--- /dev/null
+++ b/crates/platform/src/swap.rs
@@ -0,0 +1,10 @@
+//! Answers to compare-and-swap.
+
+/// Answer to a compare-and-swap that was carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Swap {
+    /// The value was written.
+    Done,
+    /// The key had another index; nothing changed.
+    Conflict,
+}
