Add the operators' command line

Operators had no way to check, apply and inspect configurations or to command proxies.

flamingoctl has check, plan, apply, get, history, status, drain, promote, burn and completions, each with a text and a JSON form and documented exit codes. apply repeats a compare-and-swap whose answer was lost while the index is unchanged, and otherwise reads back and compares the apply id, also when a later document has replaced its own. Kept documents name the apply id of their predecessor, so that the history never shows an apply that lost a race. burn merges the reports of the proxies that answer, as a table, JSON or SVG chart. The canonical text is built from sections, which plan compares.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,10 @@
 //! The operators' command line of flamingorock.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use flamingorock_cli::{Arguments, run};
+
+fn main() -> ExitCode {
+    run(&Arguments::parse(), &mut std::io::stdout(), &mut std::io::stderr()).into()
+}
--- a/crates/config/src/config_error.rs
+++ b/crates/config/src/config_error.rs
@@ -3,11 +3,12 @@
 use core::fmt;
 
 use derive_more::Error;
+use serde::Serialize;
 
 use crate::section::Section;
 
 /// An error in a settings or service file.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Eq, Error, PartialEq, Serialize)]
 pub struct ConfigError {
     /// Name of the file, as it was given.
     pub file: String,
--- a/crates/config/src/config_errors.rs
+++ b/crates/config/src/config_errors.rs
@@ -1,11 +1,12 @@
 //! All errors in a file.
 
 use derive_more::{Display, Error, From};
+use serde::Serialize;
 
 use crate::ConfigError;
 
 /// All errors of a file, in the order of their lines. One line of text for each.
-#[derive(Clone, Debug, Display, Eq, Error, From, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, Error, From, PartialEq, Serialize)]
 #[display("{}", _0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct ConfigErrors(#[error(not(source))] pub Vec<ConfigError>);
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use config_error::ConfigError;
 pub use config_errors::ConfigErrors;
-pub use services::{parse_services, services_text};
+pub use services::{CanonicalSection, parse_services, services_sections, services_text};
 pub use settings::{
     AdminKey, AdminSettings, DrainSettings, HostListSettings, HostSettings, ListenSettings,
     LogFormat, LogLevel, LogSettings, Settings, StoreSettings, TrafficSettings,
--- a/crates/config/src/services.rs
+++ b/crates/config/src/services.rs
@@ -1,5 +1,6 @@
 //! Service files.
 
+mod canonical_section;
 mod database;
 mod index;
 mod instance;
@@ -14,7 +15,8 @@
 use crate::{ConfigError, ConfigErrors};
 use index::Index;
 
-pub use text::services_text;
+pub use canonical_section::CanonicalSection;
+pub use text::{services_sections, services_text};
 
 /// Bound on the size of a service file. The store takes values of up to a megabyte, and the JSON
 /// form of the text is longer than the text.
--- a/crates/platform/tests/consul.rs
+++ b/crates/platform/tests/consul.rs
@@ -122,16 +122,15 @@
         drop(server.join());
         show(&url, result)
     };
-    let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let refusing = format!("http://{}", free.local_addr().expect("an address"));
-    drop(free);
-    let store = ConsulStore::new(&refusing);
+    // No test listens on this loopback address.
+    let refusing = "http://127.0.0.2:1";
+    let store = ConsulStore::new(refusing);
     let large = vec![b'x'; ConsulStore::MAX_VALUE_BYTES + 1];
     let results = [
-        ("refused", show(&refusing, store.compare_and_swap("k", 1, b"v", far()))),
-        ("too late", show(&refusing, store.compare_and_swap("k", 1, b"v", Instant::now()))),
-        ("too large", show(&refusing, store.compare_and_swap("k", 1, &large, far()))),
-        ("bad key", show(&refusing, store.compare_and_swap("k?x", 1, b"v", far()))),
+        ("refused", show(refusing, store.compare_and_swap("k", 1, b"v", far()))),
+        ("too late", show(refusing, store.compare_and_swap("k", 1, b"v", Instant::now()))),
+        ("too large", show(refusing, store.compare_and_swap("k", 1, &large, far()))),
+        ("bad key", show(refusing, store.compare_and_swap("k?x", 1, b"v", far()))),
         ("closed without an answer", write(vec![String::new()])),
         ("cut short", write(vec!["HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntr".to_owned()])),
         ("status 500", write(vec![answer("500 Internal Server Error", 1, "rpc error")])),
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -34,6 +34,7 @@
     index: u64,
     entries: BTreeMap<String, Entry>,
     write_faults: VecDeque<Fault>,
+    working_reads: usize,
     read_faults: usize,
 }
 
@@ -43,9 +44,10 @@
         self.state.lock().expect("not poisoned").write_faults.extend(faults);
     }
 
-    /// Lets the next reads fail.
-    pub(crate) fn fail_reads(&self, count: usize) {
-        self.state.lock().expect("not poisoned").read_faults = count;
+    /// Lets `count` reads fail after the next `working` ones.
+    pub(crate) fn fail_reads_after(&self, working: usize, count: usize) {
+        let mut state = self.state.lock().expect("not poisoned");
+        (state.working_reads, state.read_faults) = (working, count);
     }
 
     /// Writes a key whatever its index is.
@@ -75,7 +77,9 @@
     }
 
     fn start_read(&mut self) -> Result<(), StoreError> {
-        if self.read_faults > 0 {
+        if self.working_reads > 0 {
+            self.working_reads -= 1;
+        } else if self.read_faults > 0 {
             self.read_faults -= 1;
             return Err(unreachable_error());
         }
