Bound the memory and the lookups of a batch of extended messages

A batch searched its changed statements and portals one by one, so that many small messages cost quadratic time, and the plan took about ten times the size of the messages. Some words that PostgreSQL allows as function names (like, join, is) were taken for grammar in any place.

Names are now looked up in hash tables, a batch has at most 65,536 messages, buffers of large requests and answers are given up, and the words count as grammar only where an operand stands before them.

--- a/crates/frontend/src/backend/backend_codec.rs
+++ b/crates/frontend/src/backend/backend_codec.rs
@@ -11,6 +11,9 @@
 
 /// Greatest size of a message of the greeting, or of one outside of an answer.
 const MAX_OTHER_BYTES: usize = 64 * 1024;
+/// Size of an answer from which the memory of the buffer is given up with it. Up to this size the
+/// buffer is used again once the answer has been written.
+const KEPT_BUFFER_BYTES: usize = 64 * 1024;
 /// Greatest size of the answer to one statement of a reset; warnings are part of it.
 const MAX_RESET_BYTES: usize = 256 * 1024;
 
@@ -128,6 +131,9 @@
 
     fn next_answer(&mut self, limit_bytes: usize) -> Result<Option<BackendEvent>, BackendError> {
         let answer = self.scan.advance(&mut self.buffer, limit_bytes)?;
+        if answer.as_ref().is_some_and(|answer| answer.bytes.len() > KEPT_BUFFER_BYTES) {
+            wire::release_if_empty(&mut self.buffer);
+        }
         Ok(answer.map(|Answer { bytes, status, failed }| {
             self.phase = Phase::Idle;
             BackendEvent::Answered { answer: bytes, status, failed }
--- a/crates/frontend/src/caller/batch.rs
+++ b/crates/frontend/src/caller/batch.rs
@@ -1,15 +1,21 @@
 //! A batch of extended messages on its way to become a request.
 
+use std::collections::HashMap;
+
 use bytes::{Bytes, BytesMut};
 use flamingorock_core::StatementKind;
 
-use super::kept_statements::KeptStatements;
+use super::kept_statements::{KeptStatement, KeptStatements};
 use super::limits::CallerLimits;
 use super::plan::{AnswerPlan, LocalStep, StatementChange, Step};
 use super::portals::Portals;
 use super::{ProtocolError, RankList};
 use crate::refusal::Refusal;
 
+/// Greatest number of messages of a batch. The plan takes about 100 bytes for a message of 7, so that
+/// the limit on the size of requests alone would not bound its memory.
+const MAX_BATCH_MESSAGES: usize = 65_536;
+
 /// Why a batch cannot become a request.
 #[derive(Debug)]
 pub(crate) enum Rejection {
@@ -40,6 +46,10 @@
     /// Name of the caller's statement that the payload has parsed last.
     pub(super) current: Option<Vec<u8>>,
     pub(super) portals: Portals,
+    /// The last change of the unnamed statement in the plan.
+    unnamed_change: Option<usize>,
+    /// The last change of each named statement in the plan.
+    named_changes: HashMap<Box<[u8]>, usize>,
     /// Size of the messages received for the batch.
     pub(super) received_bytes: usize,
     /// How the number of kept named statements changes if the batch succeeds.
@@ -61,6 +71,8 @@
         self.kind = None;
         self.current = None;
         self.portals.clear();
+        self.unnamed_change = None;
+        self.named_changes = HashMap::new();
         self.received_bytes = 0;
         self.kept_count_change = 0;
         self.kept_bytes_change = 0;
@@ -84,6 +96,48 @@
         });
     }
 
+    /// Refuses a batch that has grown too large.
+    pub(super) fn check_size(&self, limit_bytes: usize) -> Result<(), Rejection> {
+        if self.received_bytes.max(self.payload.len()) > limit_bytes {
+            return Err(Rejection::Violation(ProtocolError::RequestTooLarge(limit_bytes)));
+        }
+        if self.plan.steps.len() > MAX_BATCH_MESSAGES {
+            return Err(Rejection::Violation(ProtocolError::TooManyMessages(MAX_BATCH_MESSAGES)));
+        }
+        Ok(())
+    }
+
+    /// Adds a change of a prepared statement and returns its place in the plan.
+    pub(super) fn add_change(&mut self, change: StatementChange) -> usize {
+        let index = self.plan.changes.len();
+        let name = change.name();
+        if name.is_empty() {
+            self.unnamed_change = Some(index);
+        } else {
+            self.named_changes.insert(name.into(), index);
+        }
+        self.plan.changes.push(change);
+        index
+    }
+
+    /// Finds a statement by name, as the messages of the batch so far leave it.
+    pub(super) fn find<'a>(
+        &'a self,
+        name: &[u8],
+        context: BatchContext<'a>,
+    ) -> Option<&'a KeptStatement> {
+        let change = if name.is_empty() {
+            self.unnamed_change
+        } else {
+            self.named_changes.get(name).copied()
+        };
+        match change.map(|index| &self.plan.changes[index]) {
+            Some(StatementChange::Keep(_, statement)) => Some(statement),
+            Some(StatementChange::Drop(_)) => None,
+            None => context.kept.get(name),
+        }
+    }
+
     pub(super) fn add_local(&mut self, step: LocalStep) {
         self.plan.steps.push(Step::Local(step));
     }
--- a/crates/frontend/src/caller/caller_codec.rs
+++ b/crates/frontend/src/caller/caller_codec.rs
@@ -42,7 +42,7 @@
 /// [`next_message`](Self::next_message) until it returns `None`, also after each delivered answer.
 #[derive(Debug)]
 pub struct CallerCodec {
-    buffer: BytesMut,
+    pub(super) buffer: BytesMut,
     /// Bytes of an unwanted message that have not been received yet.
     pub(super) discard_bytes: usize,
     pub(super) phase: Phase,
--- a/crates/frontend/src/caller/extended.rs
+++ b/crates/frontend/src/caller/extended.rs
@@ -8,7 +8,7 @@
 use super::plan::{LocalStep, StatementChange, Step};
 use super::portals::PortalTarget;
 use super::prepared::{append_without_name, does_not_exist, signed_size};
-use super::{LocalStatement, ProtocolError, Setting};
+use super::{LocalStatement, Setting};
 use crate::wire::{HEADER_BYTES, Reader};
 
 impl Batch {
@@ -28,11 +28,7 @@
             b'E' => self.execute(frame)?,
             _ => self.close(frame, context)?,
         }
-        let limit = context.limits.max_request_bytes;
-        if self.received_bytes.max(self.payload.len()) > limit {
-            return Err(Rejection::Violation(ProtocolError::RequestTooLarge(limit)));
-        }
-        Ok(())
+        self.check_size(context.limits.max_request_bytes)
     }
 
     fn bind(&mut self, frame: BytesMut, context: BatchContext<'_>) -> Result<(), Rejection> {
@@ -129,8 +125,7 @@
                 self.kept_count_change -= 1;
                 self.kept_bytes_change -= size;
             }
-            let change = self.plan.changes.len();
-            self.plan.changes.push(StatementChange::Drop(name.into()));
+            let change = self.add_change(StatementChange::Drop(name.into()));
             self.add_local(LocalStep::CloseComplete(Some(change)));
         } else if let Some(PortalTarget::Local(_)) = self.portals.get(name) {
             self.portals.remove(name);
--- a/crates/frontend/src/caller/plan.rs
+++ b/crates/frontend/src/caller/plan.rs
@@ -30,6 +30,14 @@
     Drop(Box<[u8]>),
 }
 
+impl StatementChange {
+    pub(crate) fn name(&self) -> &[u8] {
+        match self {
+            Self::Keep(name, _) | Self::Drop(name) => name,
+        }
+    }
+}
+
 /// A part of an answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Step {
@@ -99,8 +107,8 @@
 
 impl AnswerPlan {
     pub(crate) fn clear(&mut self) {
-        self.steps.clear();
-        self.changes.clear();
+        clear(&mut self.steps);
+        clear(&mut self.changes);
         self.leaves_out_ready = false;
     }
 
@@ -167,6 +175,15 @@
     }
 }
 
+/// Clears a list, and frees it if a large batch has made it large.
+fn clear<T>(list: &mut Vec<T>) {
+    const KEPT_CAPACITY: usize = 256;
+    list.clear();
+    if list.capacity() > KEPT_CAPACITY {
+        *list = Vec::new();
+    }
+}
+
 /// Progress through an answer.
 struct Walk {
     /// What has not been passed on or removed.
--- a/crates/frontend/src/caller/portals.rs
+++ b/crates/frontend/src/caller/portals.rs
@@ -1,5 +1,7 @@
 //! Portals that a batch of extended messages has bound.
 
+use std::collections::HashMap;
+
 use super::LocalStatement;
 
 /// What runs a portal.
@@ -15,23 +17,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct Portals {
     unnamed: Option<PortalTarget>,
-    named: Vec<(Box<[u8]>, PortalTarget)>,
+    named: HashMap<Box<[u8]>, PortalTarget>,
 }
 
 impl Portals {
     pub(crate) fn get(&self, name: &[u8]) -> Option<&PortalTarget> {
-        if name.is_empty() {
-            return self.unnamed.as_ref();
-        }
-        self.named.iter().find(|(portal, _)| **portal == *name).map(|(_, target)| target)
+        if name.is_empty() { self.unnamed.as_ref() } else { self.named.get(name) }
     }
 
     pub(crate) fn insert(&mut self, name: &[u8], target: PortalTarget) {
-        self.remove(name);
         if name.is_empty() {
             self.unnamed = Some(target);
         } else {
-            self.named.push((name.into(), target));
+            self.named.insert(name.into(), target);
         }
     }
 
@@ -39,12 +37,11 @@
         if name.is_empty() {
             self.unnamed = None;
         } else {
-            self.named.retain(|(portal, _)| **portal != *name);
+            self.named.remove(name);
         }
     }
 
     pub(crate) fn clear(&mut self) {
-        self.unnamed = None;
-        self.named.clear();
+        *self = Self::default();
     }
 }
--- a/crates/frontend/src/caller/prepared.rs
+++ b/crates/frontend/src/caller/prepared.rs
@@ -20,8 +20,8 @@
         let mut reader = Reader::new(&frame[HEADER_BYTES..]);
         let name = field(reader.string(), b'P')?;
         let query = field(reader.string(), b'P')?;
-        let types = field(reader.i16(), b'P')?;
-        field(usize::try_from(types).ok().filter(|count| count * 4 == reader.rest().len()), b'P')?;
+        let type_count = field(reader.u16(), b'P')?;
+        field((usize::from(type_count) * 4 == reader.rest().len()).then_some(()), b'P')?;
         if !name.is_empty() && self.find(name, context).is_some() {
             return Err(already_exists(name));
         }
@@ -31,19 +31,18 @@
             Classification::LocalSeveral(_) => return Err(several_statements()),
             Classification::Refused(refusal) => return Err(Rejection::Refused(refusal)),
         };
-        let name_length = name.len();
-        self.parse_at_backend(kind, name_length, frame, context)
+        let name_bytes = name.len();
+        self.parse_at_backend(kind, name_bytes, frame, context)
     }
 
     fn parse_at_backend(
         &mut self,
         kind: StatementKind,
-        name_length: usize,
+        name_bytes: usize,
         frame: BytesMut,
         context: BatchContext<'_>,
     ) -> Result<(), Rejection> {
-        let name = &frame[HEADER_BYTES..HEADER_BYTES + name_length];
-        let change = self.plan.changes.len();
+        let name = &frame[HEADER_BYTES..HEADER_BYTES + name_bytes];
         let start = self.payload.len();
         let parse = if name.is_empty() {
             ParseMessage::InPayload(start..start + frame.len())
@@ -53,7 +52,7 @@
             ParseMessage::Owned(message.freeze())
         };
         let statement = KeptStatement { parse, target: StatementTarget::Backend(kind) };
-        self.keep(name, &statement, context)?;
+        let change = self.keep(name, &statement, context)?;
         self.current = Some(name.to_vec());
         match &statement.parse {
             ParseMessage::Owned(bytes) => self.payload.extend_from_slice(bytes),
@@ -69,30 +68,29 @@
         local: LocalStatement,
         context: BatchContext<'_>,
     ) -> Result<(), Rejection> {
-        let change = self.plan.changes.len();
         let statement = KeptStatement {
             parse: ParseMessage::Owned(Bytes::new()),
             target: StatementTarget::Local(local),
         };
-        self.keep(name, &statement, context)?;
+        let change = self.keep(name, &statement, context)?;
         self.add_local(LocalStep::ParseComplete(change));
         Ok(())
     }
 
-    /// Notes a statement that is kept once its `ParseComplete` arrives.
+    /// Notes a statement that is kept once its `ParseComplete` arrives. Returns its place in the
+    /// plan.
     fn keep(
         &mut self,
         name: &[u8],
         statement: &KeptStatement,
         context: BatchContext<'_>,
-    ) -> Result<(), Rejection> {
+    ) -> Result<usize, Rejection> {
         if !name.is_empty() {
             self.kept_count_change += 1;
             self.kept_bytes_change += signed_size(name, statement);
             self.check_limits(context)?;
         }
-        self.plan.changes.push(StatementChange::Keep(name.into(), statement.clone()));
-        Ok(())
+        Ok(self.add_change(StatementChange::Keep(name.into(), statement.clone())))
     }
 
     /// Refuses one statement more than a session may keep, if the batch succeeds.
@@ -113,24 +111,6 @@
         }))
     }
 
-    /// Finds a statement by name, as the messages of the batch so far leave it.
-    pub(super) fn find<'a>(
-        &'a self,
-        name: &[u8],
-        context: BatchContext<'a>,
-    ) -> Option<&'a KeptStatement> {
-        for change in self.plan.changes.iter().rev() {
-            match change {
-                StatementChange::Keep(changed, statement) if **changed == *name => {
-                    return Some(statement);
-                }
-                StatementChange::Drop(changed) if **changed == *name => return None,
-                _ => {}
-            }
-        }
-        context.kept.get(name)
-    }
-
     /// Inserts the `Parse` of a statement unless it is what the payload has parsed last.
     pub(super) fn ensure_parsed(&mut self, name: &[u8], context: BatchContext<'_>) {
         if self.current.as_deref() == Some(name) {
--- a/crates/frontend/src/caller/protocol_error.rs
+++ b/crates/frontend/src/caller/protocol_error.rs
@@ -40,6 +40,8 @@
     },
     /// the messages up to Sync are larger than the limit of {0} bytes
     RequestTooLarge(usize),
+    /// there are more than {0} messages up to Sync
+    TooManyMessages(usize),
     /// a simple query follows extended messages without Sync
     QueryWithoutSync,
 }
@@ -51,7 +53,9 @@
     #[must_use]
     pub fn code(&self) -> ResultCode {
         match self {
-            Self::MessageTooLarge { .. } | Self::RequestTooLarge(_) => ResultCode::RequestTooLarge,
+            Self::MessageTooLarge { .. } | Self::RequestTooLarge(_) | Self::TooManyMessages(_) => {
+                ResultCode::RequestTooLarge
+            }
             Self::Replication | Self::UnsupportedVersion { .. } => ResultCode::Unsupported,
             _ => ResultCode::ProtocolViolation,
         }
@@ -66,6 +70,7 @@
             Self::MalformedMessage(_)
                 | Self::MessageTooLarge { .. }
                 | Self::RequestTooLarge(_)
+                | Self::TooManyMessages(_)
                 | Self::QueryWithoutSync
         )
     }
--- a/crates/frontend/src/caller/requests.rs
+++ b/crates/frontend/src/caller/requests.rs
@@ -12,6 +12,9 @@
 use crate::refusal::Refusal;
 use crate::wire::{self, HEADER_BYTES, Reader};
 
+/// Size of a request from which the memory of the buffer is given up with it.
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
 impl CallerCodec {
     pub(super) fn see_unwanted(&mut self, tag: u8, size: usize) -> Option<CallerMessage> {
         self.discard_bytes = size;
@@ -85,6 +88,9 @@
 
     fn request(&mut self, kind: StatementKind, payload: Bytes) -> CallerMessage {
         self.phase = Phase::InFlight;
+        if payload.len() > KEPT_BUFFER_BYTES {
+            wire::release_if_empty(&mut self.buffer);
+        }
         let settings = &self.session.settings;
         CallerMessage::Request(Request {
             kind,
--- a/crates/frontend/src/group_protocol/function_group_protocol.rs
+++ b/crates/frontend/src/group_protocol/function_group_protocol.rs
@@ -73,7 +73,7 @@
     /// Table, column number, type, size, modifier and format that follow a column's name.
     const FIXED_BYTES: usize = 4 + 2 + 4 + 2 + 4 + 2;
     let mut reader = Reader::new(body);
-    let count = reader.i16()?;
+    let count = reader.u16()?;
     let mut places = Vec::new();
     for _ in 0..count {
         let name = reader.string()?;
@@ -85,7 +85,7 @@
 
 fn values<'a>(body: &'a [u8], places: &[Option<usize>]) -> Option<Row<'a>> {
     let mut reader = Reader::new(body);
-    let count = usize::try_from(reader.i16()?).ok()?;
+    let count = usize::from(reader.u16()?);
     let mut row = Row::default();
     for place in places.get(..count)? {
         // A negative length stands for NULL, which counts as a missing value.
--- a/crates/frontend/src/sql/functions.rs
+++ b/crates/frontend/src/sql/functions.rs
@@ -93,10 +93,9 @@
     "time",
     "timestamp",
     "varchar",
-    "varying",
 ];
 
-/// Keywords that are reserved in PostgreSQL, so that no function can have their name unquoted.
+/// Keywords of PostgreSQL that cannot be the name of a function unless quoted.
 const RESERVED: &[&str] = &[
     "all",
     "and",
@@ -112,11 +111,7 @@
     "having",
     "in",
     "intersect",
-    "is",
-    "join",
     "lateral",
-    "like",
-    "ilike",
     "limit",
     "not",
     "offset",
@@ -125,7 +120,6 @@
     "returning",
     "row",
     "select",
-    "similar",
     "some",
     "then",
     "union",
@@ -135,7 +129,7 @@
     "where",
 ];
 
-/// Functions that change the state of the session, with their reason for being refused.
+/// Functions that take or release advisory locks of the session.
 const SESSION: &[&str] = &[
     "pg_advisory_lock",
     "pg_advisory_lock_shared",
--- a/crates/frontend/src/sql/scan.rs
+++ b/crates/frontend/src/sql/scan.rs
@@ -164,8 +164,15 @@
 /// these places it can be the name of a function.
 fn is_grammar(word: Token<'_>, before: Token<'_>) -> bool {
     let follows_call = before == Token::Symbol(b')');
+    let follows_operand = match before {
+        Token::Word(word) => !is_reserved(word) && !before.is("by"),
+        Token::Quoted(_) | Token::Text(_) | Token::Number(_) | Token::Parameter => true,
+        _ => false,
+    };
     (word.is_any(&["over", "filter"]) && follows_call)
         || (word.is("by") && before.is_any(&["order", "group", "partition"]))
         || (word.is("conflict") && before.is("on"))
         || (word.is("group") && before.is("within"))
+        || (word.is("varying") && before.is_any(&["bit", "char", "character"]))
+        || (word.is_any(&["join", "like", "ilike"]) && follows_operand)
 }
--- a/crates/frontend/src/wire.rs
+++ b/crates/frontend/src/wire.rs
@@ -8,6 +8,6 @@
 mod header;
 mod reader;
 
-pub(crate) use encode::{append, encode, query, ready_for_query, status_of};
+pub(crate) use encode::{append, encode, query, ready_for_query, release_if_empty, status_of};
 pub(crate) use header::{HEADER_BYTES, Header};
 pub(crate) use reader::Reader;
--- a/crates/frontend/src/wire/encode.rs
+++ b/crates/frontend/src/wire/encode.rs
@@ -34,6 +34,13 @@
     })
 }
 
+/// Gives up the memory of a buffer, which stays with the messages that were taken from it.
+pub(crate) fn release_if_empty(buffer: &mut BytesMut) {
+    if buffer.is_empty() {
+        *buffer = BytesMut::new();
+    }
+}
+
 /// Transaction status that a `ReadyForQuery` message carries.
 pub(crate) fn status_of(byte: u8) -> Option<TransactionStatus> {
     match byte {
--- a/crates/frontend/src/wire/reader.rs
+++ b/crates/frontend/src/wire/reader.rs
@@ -22,8 +22,8 @@
         Some(*first)
     }
 
-    pub(crate) fn i16(&mut self) -> Option<i16> {
-        self.chunk().map(i16::from_be_bytes)
+    pub(crate) fn u16(&mut self) -> Option<u16> {
+        self.chunk().map(u16::from_be_bytes)
     }
 
     pub(crate) fn i32(&mut self) -> Option<i32> {
--- a/crates/frontend/tests/classification/reads.sql
+++ b/crates/frontend/tests/classification/reads.sql
@@ -18,6 +18,11 @@
 SELECT "count"(a) FROM t
 SELECT other.count(a) FROM t
 SELECT over(1), filter(2), by(3) FROM t
+SELECT a::character varying(5) FROM t LEFT JOIN (TABLE u) AS u ON a LIKE ('x%')
+SELECT like(a, b) FROM t
+SELECT a FROM t WHERE join(a)
+SELECT a FROM t ORDER BY ilike(a, b)
+SELECT varying(a) FROM t
 SELECT E'\\'' || nextval('s') || ''
 SELECT E'\\' nextval(' || 'x'
 SELECT * FROM t FOR UPDATE
