Shorten the classification of statements

Classification took most of the time of a request: each word was compared with every keyword, and the state of the scan was moved for each statement.

Keywords are now looked up at once, characters are classified by a table, and the unnamed statement needs no hash table. A test bounds the messages of a batch.

--- a/crates/frontend/src/caller/kept_statements.rs
+++ b/crates/frontend/src/caller/kept_statements.rs
@@ -49,44 +49,44 @@
     }
 }
 
-/// Prepared statements of a caller by name. The unnamed statement has the empty name; it does not
-/// count towards the limits, since it replaces the former one.
+/// Prepared statements of a caller. The unnamed statement does not count towards the limits, since
+/// it replaces the former one.
 #[derive(Debug, Default)]
 pub(crate) struct KeptStatements {
-    statements: HashMap<Box<[u8]>, KeptStatement>,
-    named_count: usize,
+    unnamed: Option<KeptStatement>,
+    named: HashMap<Box<[u8]>, KeptStatement>,
     named_bytes: usize,
 }
 
 impl KeptStatements {
     pub(crate) fn get(&self, name: &[u8]) -> Option<&KeptStatement> {
-        self.statements.get(name)
+        if name.is_empty() { self.unnamed.as_ref() } else { self.named.get(name) }
     }
 
     /// Number of named statements.
-    pub(crate) fn count(&self) -> usize {
-        self.named_count
+    pub(crate) fn named_count(&self) -> usize {
+        self.named.len()
     }
 
     /// Total size of the named statements with their names.
-    pub(crate) fn bytes(&self) -> usize {
+    pub(crate) fn named_bytes(&self) -> usize {
         self.named_bytes
     }
 
     pub(crate) fn insert(&mut self, name: &[u8], statement: KeptStatement) {
-        self.remove(name);
-        if !name.is_empty() {
-            self.named_count += 1;
-            self.named_bytes += size_of(name, &statement);
+        if name.is_empty() {
+            self.unnamed = Some(statement);
+            return;
         }
-        self.statements.insert(name.into(), statement);
+        self.remove(name);
+        self.named_bytes += size_of(name, &statement);
+        self.named.insert(name.into(), statement);
     }
 
     pub(crate) fn remove(&mut self, name: &[u8]) {
-        if let Some(statement) = self.statements.remove(name)
-            && !name.is_empty()
-        {
-            self.named_count -= 1;
+        if name.is_empty() {
+            self.unnamed = None;
+        } else if let Some(statement) = self.named.remove(name) {
             self.named_bytes -= size_of(name, &statement);
         }
     }
--- a/crates/frontend/src/caller/prepared.rs
+++ b/crates/frontend/src/caller/prepared.rs
@@ -96,8 +96,8 @@
     /// Refuses one statement more than a session may keep, if the batch succeeds.
     fn check_limits(&self, context: BatchContext<'_>) -> Result<(), Rejection> {
         let limits = context.limits;
-        let count = context.kept.count().saturating_add_signed(self.kept_count_change);
-        let bytes = context.kept.bytes().saturating_add_signed(self.kept_bytes_change);
+        let count = context.kept.named_count().saturating_add_signed(self.kept_count_change);
+        let bytes = context.kept.named_bytes().saturating_add_signed(self.kept_bytes_change);
         if count <= limits.max_statements && bytes <= limits.max_statement_bytes {
             return Ok(());
         }
--- a/crates/frontend/src/classify.rs
+++ b/crates/frontend/src/classify.rs
@@ -32,9 +32,12 @@
     for token in Tokenizer::new(sql) {
         if token != Token::Symbol(b';') {
             scan.push(token);
-        } else if let Err(refusal) = summary.add(&mut scan, ranks) {
+            continue;
+        }
+        if let Err(refusal) = summary.add(&mut scan, ranks) {
             return Classification::Refused(refusal);
         }
+        scan = StatementScan::new();
     }
     match summary.add(&mut scan, ranks) {
         Ok(()) => summary.finish(),
@@ -51,13 +54,12 @@
 }
 
 impl Summary {
-    /// Adds a statement, which may be empty, and clears the scan for the next one.
+    /// Adds a statement, which may be empty.
     fn add(&mut self, scan: &mut StatementScan<'_>, ranks: &RankList) -> Result<(), Refusal> {
-        let mut statement = core::mem::replace(scan, StatementScan::new());
-        if statement.length() == 0 {
+        if scan.length() == 0 {
             return Ok(());
         }
-        match classify_statement(&mut statement, ranks)? {
+        match classify_statement(scan, ranks)? {
             Statement::Routed(kind) => {
                 self.routed = Some(self.routed.map_or(kind, |_| StatementKind::Other));
             }
--- a/crates/frontend/src/sql/scan.rs
+++ b/crates/frontend/src/sql/scan.rs
@@ -9,6 +9,11 @@
 /// Number of tokens kept before the present one: a qualified name and what precedes it.
 const RECENT_TOKENS: usize = 3;
 
+/// Length of `no`, the shortest keyword that is looked for in any place of a statement.
+const SHORTEST_KEYWORD: usize = 2;
+/// Length of `overriding`, the longest keyword that is looked for in any place of a statement.
+const LONGEST_KEYWORD: usize = 10;
+
 /// Collects what the classification needs to know of one statement, without allocating.
 #[derive(Clone, Debug)]
 pub(crate) struct StatementScan<'a> {
@@ -84,7 +89,7 @@
     /// Adds the next token.
     pub(crate) fn push(&mut self, token: Token<'a>) {
         match token {
-            Token::Word(_) => self.see_word(token),
+            Token::Word(word) => self.see_word(word),
             Token::Symbol(b'(') => self.see_parenthesis(),
             Token::Unterminated => self.is_unterminated = true,
             _ => {}
@@ -93,28 +98,40 @@
             self.head[self.length] = token;
         }
         self.length += 1;
-        self.recent.rotate_right(1);
-        self.recent[0] = token;
+        let [last, before, _] = self.recent;
+        self.recent = [token, last, before];
     }
 
-    fn see_word(&mut self, word: Token<'a>) {
+    fn see_word(&mut self, word: &[u8]) {
+        // One lookup for all keywords: this runs for every word of every statement.
+        let mut lower = [0; LONGEST_KEYWORD];
+        if word.len() < SHORTEST_KEYWORD || word.len() > LONGEST_KEYWORD {
+            return;
+        }
+        for (lower, byte) in lower.iter_mut().zip(word) {
+            *lower = byte.to_ascii_lowercase();
+        }
         let previous = self.recent[0];
-        if word.is("into") {
-            self.has_into = true;
-            self.in_insert_target = self.first().is("insert") && previous.is("insert");
-        } else if word.is_any(&["insert", "update", "delete", "merge"]) {
-            self.has_modifying_word = true;
-        } else if previous.is("for") && word.is_any(&["share", "no", "key"]) {
-            self.has_row_lock = true;
-        } else if word.is_any(&["values", "select", "default", "with", "overriding"]) {
-            self.in_insert_target = false;
-        } else if word.is("hold") && previous.is("with") && self.first().is("declare") {
-            self.refuse(Refusal::unsupported(
-                "DECLARE ... WITH HOLD",
-                "Declare the cursor without WITH HOLD and read it inside the transaction.",
-            ));
-        } else if previous.is("into") && word.is_any(&["temp", "temporary"]) {
-            self.refuse(super::unsupported::temporary_table());
+        match &lower[..word.len()] {
+            b"into" => {
+                self.has_into = true;
+                self.in_insert_target = self.first().is("insert") && previous.is("insert");
+            }
+            b"insert" | b"update" | b"delete" | b"merge" => self.has_modifying_word = true,
+            b"share" | b"no" | b"key" => self.has_row_lock |= previous.is("for"),
+            b"values" | b"select" | b"default" | b"with" | b"overriding" => {
+                self.in_insert_target = false;
+            }
+            b"hold" if previous.is("with") && self.first().is("declare") => {
+                self.refuse(Refusal::unsupported(
+                    "DECLARE ... WITH HOLD",
+                    "Declare the cursor without WITH HOLD and read it inside the transaction.",
+                ));
+            }
+            b"temp" | b"temporary" if previous.is("into") => {
+                self.refuse(super::unsupported::temporary_table());
+            }
+            _ => {}
         }
     }
 
--- a/crates/frontend/src/sql/tokenizer.rs
+++ b/crates/frontend/src/sql/tokenizer.rs
@@ -159,9 +159,23 @@
 }
 
 fn starts_word(byte: u8) -> bool {
-    byte.is_ascii_alphabetic() || byte == b'_' || byte >= 0x80
+    WORD_BYTES[usize::from(byte)] && !byte.is_ascii_digit() && byte != b'$'
 }
 
 fn continues_word(byte: u8) -> bool {
-    starts_word(byte) || byte.is_ascii_digit() || byte == b'$'
+    WORD_BYTES[usize::from(byte)]
 }
+
+/// Bytes that continue a word: letters, digits, `_`, `$` and all bytes outside of ASCII.
+static WORD_BYTES: [bool; 256] = {
+    let mut table = [false; 256];
+    let mut byte = 0_u8;
+    loop {
+        table[byte as usize] =
+            byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80;
+        if byte == u8::MAX {
+            break table;
+        }
+        byte += 1;
+    }
+};
--- a/crates/frontend/tests/caller_extended.rs
+++ b/crates/frontend/tests/caller_extended.rs
@@ -157,6 +157,15 @@
     assert_snapshot!(caller.log);
 }
 
+/// Guards against a batch whose plan takes far more memory than its messages.
+#[test]
+fn messages_of_a_batch_are_bounded() {
+    let mut caller = Caller::open_with_limit(1 << 20);
+    let messages = vec![close('P', ""); 65_537];
+    caller.send(&messages).send(&[close('P', ""), sync()]);
+    assert_snapshot!(caller.log);
+}
+
 /// Guards against an answer that is passed on although it does not belong to the request.
 #[test]
 fn answer_that_does_not_fit_is_an_error() {
--- a/crates/frontend/tests/support/mod.rs
+++ b/crates/frontend/tests/support/mod.rs
@@ -137,12 +137,16 @@
 impl Caller {
     /// Opens a session with a limit of 1,000 bytes for requests.
     pub(crate) fn open() -> Self {
+        Self::open_with_limit(1_000)
+    }
+
+    pub(crate) fn open_with_limit(max_request_bytes: usize) -> Self {
         let mut caller = Self { codec: CallerCodec::new(), log: String::new() };
         caller.codec.receive(&startup(0x3_0000, b"user\0ada\0\0"));
         let Some(CallerMessage::Startup(startup)) = caller.codec.next_message() else {
             panic!("the startup is well formed");
         };
-        caller.codec.accept(&startup, &greeting(1_000)).expect("there are no options");
+        caller.codec.accept(&startup, &greeting(max_request_bytes)).expect("there are no options");
         caller
     }
 
