Refuse settings that decide where strings end

A backend server with standard_conforming_strings off, or a caller that turns it off by SET LOCAL, would read statements otherwise than the classification does. Callers were also told a time zone that no backend server was asked for.

BackendCodec now asks for the settings of the greeting in its startup message and gives up a connection with another text setting; SET LOCAL of these settings is refused. Refused settings are named in the message.

--- a/crates/frontend/src/backend/backend_codec.rs
+++ b/crates/frontend/src/backend/backend_codec.rs
@@ -9,6 +9,16 @@
 use super::answer::{Answer, AnswerScan, error_fields};
 use crate::wire::{self, HEADER_BYTES, Header, Reader};
 
+/// Settings of each session, which `DISCARD ALL` goes back to. They are those that callers are told
+/// in the greeting, whatever the defaults of the role and the database are.
+const SESSION_PARAMETERS: [(&str, &str); 5] = [
+    ("application_name", "flamingorock"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("standard_conforming_strings", "on"),
+];
+
 /// Greatest size of a message of the greeting, or of one outside of an answer.
 const MAX_OTHER_BYTES: usize = 64 * 1024;
 /// Size of an answer from which the memory of the buffer is given up with it. Up to this size the
@@ -63,12 +73,8 @@
     #[must_use]
     pub fn connect(user: &str, database: &str) -> (Self, Bytes) {
         let mut startup = Startup::new();
-        for (name, value) in [
-            ("user", user),
-            ("database", database),
-            ("application_name", "flamingorock"),
-            ("client_encoding", "UTF8"),
-        ] {
+        let identity = [("user", user), ("database", database)];
+        for (name, value) in identity.into_iter().chain(SESSION_PARAMETERS) {
             startup.parameters.insert(name.to_owned(), value.to_owned());
         }
         let codec = Self {
@@ -178,6 +184,7 @@
         let is_greeting = self.phase == Phase::Greeting;
         let mut reader = Reader::new(body);
         match tag {
+            b'S' if is_greeting => check_setting(reader).map(|()| false),
             b'S' | b'A' | b'N' => Ok(false),
             b'E' => {
                 let (sqlstate, message) = error_fields(body);
@@ -199,6 +206,27 @@
     }
 }
 
+/// Checks a reported setting that the classification of statements depends on.
+fn check_setting(mut reader: Reader<'_>) -> Result<(), BackendError> {
+    let (Some(name), Some(value)) = (reader.string(), reader.string()) else {
+        return Err(BackendError::MalformedMessage(b'S'));
+    };
+    let (name, is_accepted) = match name {
+        b"client_encoding" => ("client_encoding", is_any(value, &["UTF8", "UTF-8"])),
+        b"standard_conforming_strings" => ("standard_conforming_strings", is_any(value, &["on"])),
+        _ => return Ok(()),
+    };
+    if is_accepted {
+        return Ok(());
+    }
+    let value = String::from_utf8_lossy(value).into_owned();
+    Err(BackendError::Setting { name, value })
+}
+
+fn is_any(value: &[u8], accepted: &[&str]) -> bool {
+    accepted.iter().any(|accepted| value.eq_ignore_ascii_case(accepted.as_bytes()))
+}
+
 fn reset_failed(answer: &[u8]) -> BackendError {
     let mut rest = answer;
     while let Some((header, size)) =
--- a/crates/frontend/src/backend/backend_error.rs
+++ b/crates/frontend/src/backend/backend_error.rs
@@ -14,6 +14,13 @@
         /// Message text.
         message: String,
     },
+    /// the backend server uses {name} = {value}, with which the proxy cannot tell where strings end
+    Setting {
+        /// Name of the setting.
+        name: &'static str,
+        /// Value found.
+        value: String,
+    },
     /// the answer is larger than the limit of {limit_bytes} bytes
     AnswerTooLarge {
         /// Limit.
--- a/crates/frontend/src/sql/settings.rs
+++ b/crates/frontend/src/sql/settings.rs
@@ -56,11 +56,7 @@
     };
     let Some((name, value)) = assignment(rest) else { return Ok(None) };
     if is_local {
-        return if name.starts_with("flamingorock.") {
-            Err(Refusal::unsupported("SET LOCAL of a setting of the proxy", "Use SET."))
-        } else {
-            Ok(None)
-        };
+        return set_local(&name, value);
     }
     match (value, Setting::from_name(&name)) {
         ([value], Some(setting)) if value.is("default") => Ok(Some(LocalStatement::Reset(setting))),
@@ -71,6 +67,21 @@
     }
 }
 
+/// `SET LOCAL`, which a backend server runs unless the proxy depends on the setting.
+fn set_local(name: &str, value: &[Token<'_>]) -> Result<Option<LocalStatement>, Refusal> {
+    if name.starts_with("flamingorock.") {
+        return Err(Refusal::unsupported("SET LOCAL of a setting of the proxy", "Use SET."));
+    }
+    if !guards_text(name) {
+        return Ok(None);
+    }
+    let is_in_force = value_text(value).is_some_and(|value| has_no_effect(name, &value));
+    is_in_force.then_some(Some(LocalStatement::Ignored)).ok_or_else(|| {
+        let hint = "Leave the setting as it is; it decides where strings end.";
+        Refusal::unsupported("SET LOCAL of client_encoding or standard_conforming_strings", hint)
+    })
+}
+
 /// Splits `NAME = VALUE`, `NAME TO VALUE`, `TIME ZONE VALUE` and `NAMES VALUE`.
 fn assignment<'a, 't>(rest: &'a [Token<'t>]) -> Option<(Cow<'t, str>, &'a [Token<'t>])> {
     match rest {
@@ -130,6 +141,12 @@
     }
 }
 
+/// Whether the classification depends on a setting: with another value, a string could end at another
+/// place for the backend server than it does here.
+fn guards_text(name: &str) -> bool {
+    matches!(name, "client_encoding" | "standard_conforming_strings")
+}
+
 /// Whether a value is what is in force anyway, or changes nothing that a caller can see.
 fn has_no_effect(name: &str, value: &str) -> bool {
     let value = value.trim().to_ascii_lowercase();
--- a/crates/frontend/src/sql/unsupported.rs
+++ b/crates/frontend/src/sql/unsupported.rs
@@ -1,5 +1,7 @@
 //! Statements that depend on the state of a session.
 
+use flamingorock_core::ResultCode;
+
 use super::Token;
 use crate::refusal::Refusal;
 
@@ -26,10 +28,7 @@
         ));
     }
     if first.is("set") && !is_transaction_setting(second) || first.is("reset") {
-        return Some(Refusal::unsupported(
-            "this setting of the session",
-            "Use SET LOCAL inside a transaction, or a setting of the role at the backend server.",
-        ));
+        return Some(session_setting(head));
     }
     if first.is("discard") {
         return Some(Refusal::unsupported("this form of DISCARD", "Use DISCARD ALL."));
@@ -40,6 +39,19 @@
     None
 }
 
+/// Refusal of a setting that would stay with the connection.
+fn session_setting(head: &[Token<'_>]) -> Refusal {
+    let verb = if head[0].is("set") { "SET" } else { "RESET" };
+    let name = head[1..].iter().find(|token| !token.is("session")).and_then(Token::value);
+    let detail = format!("{verb} {} for the session", name.unwrap_or_default());
+    Refusal {
+        hint: Some(
+            "Use SET LOCAL inside a transaction, or a setting of the role at the backend server.",
+        ),
+        ..Refusal::new(ResultCode::Unsupported, detail)
+    }
+}
+
 /// Refusal of temporary tables.
 pub(super) fn temporary_table() -> Refusal {
     Refusal::unsupported("temporary tables", "Use an ordinary table or a WITH query.")
--- a/crates/frontend/tests/classification/proxy.sql
+++ b/crates/frontend/tests/classification/proxy.sql
@@ -15,6 +15,7 @@
 SET flamingorock.deadline_ms = 1.5
 SET flamingorock.unknown = 1
 SET LOCAL flamingorock.rank = 'urgent'
+SET LOCAL standard_conforming_strings = on
 SHOW flamingorock.rank
 SHOW application_name
 RESET flamingorock.deadline_ms
--- a/crates/frontend/tests/classification/refused.sql
+++ b/crates/frontend/tests/classification/refused.sql
@@ -8,6 +8,9 @@
 SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY
 SET SESSION AUTHORIZATION ada
 SET ROLE ada
+SET LOCAL standard_conforming_strings = off
+SET LOCAL client_encoding = 'SJIS'
+BEGIN; SET LOCAL standard_conforming_strings = off; COMMIT
 RESET search_path
 PREPARE p AS SELECT 1
 EXECUTE p(1)
