--- a/crates/frontend/src/caller/batch.rs
+++ b/crates/frontend/src/caller/batch.rs
@@ -56,6 +56,9 @@
     pub(super) kept_count_change: isize,
     /// How their size changes.
     pub(super) kept_bytes_change: isize,
+    /// Whether the unnamed statement is replaced. If the batch is refused, the caller can no longer
+    /// tell which statement that is, so there is none afterwards.
+    pub(super) replaces_unnamed: bool,
     /// Whether a message runs something, so that the batch cannot be ended before its `Sync`.
     pub(super) has_bind_or_execute: bool,
 }
@@ -76,6 +79,7 @@
         self.received_bytes = 0;
         self.kept_count_change = 0;
         self.kept_bytes_change = 0;
+        self.replaces_unnamed = false;
         self.has_bind_or_execute = false;
     }
 
--- a/crates/frontend/src/caller/caller_codec.rs
+++ b/crates/frontend/src/caller/caller_codec.rs
@@ -204,7 +204,8 @@
         self.session.status = status;
         let delivered = self.batch.plan.deliver(answer, &mut self.session, out);
         let skips = delivered? && self.batch.plan.leaves_out_ready;
-        self.end_request(skips);
+        self.batch.clear();
+        self.phase = if skips { Phase::Skipping } else { Phase::Open };
         Ok(())
     }
 
@@ -213,7 +214,8 @@
     pub fn refuse(&mut self, refusal: &Refusal, status: TransactionStatus) -> Bytes {
         self.session.status = status;
         let leaves_out_ready = self.batch.plan.leaves_out_ready;
-        self.end_request(leaves_out_ready);
+        self.drop_batch();
+        self.phase = if leaves_out_ready { Phase::Skipping } else { Phase::Open };
         if leaves_out_ready {
             let mut buffer = BytesMut::new();
             refusal.append_error(&mut buffer);
@@ -221,9 +223,4 @@
         }
         refusal.encode_error(status)
     }
-
-    fn end_request(&mut self, skips: bool) {
-        self.batch.clear();
-        self.phase = if skips { Phase::Skipping } else { Phase::Open };
-    }
 }
--- a/crates/frontend/src/caller/extended.rs
+++ b/crates/frontend/src/caller/extended.rs
@@ -117,9 +117,6 @@
     fn close(&mut self, frame: BytesMut, context: BatchContext<'_>) -> Result<(), Rejection> {
         let (what, name) = target_of(&frame, b'C')?;
         if what == b'S' {
-            if self.current.as_deref() == Some(name) {
-                self.current = None;
-            }
             let dropped = self.find(name, context).filter(|_| !name.is_empty());
             if let Some(size) = dropped.map(|statement| signed_size(name, statement)) {
                 self.kept_count_change -= 1;
--- a/crates/frontend/src/caller/plan.rs
+++ b/crates/frontend/src/caller/plan.rs
@@ -130,6 +130,7 @@
                 walk.pass(out);
                 out.extend(Some(self.run_local(step, session)));
             } else if !walk.step(step, out)? {
+                self.note_failure(step, session);
                 failed = true;
                 break;
             } else if let Step::Parse(change) = step {
@@ -145,6 +146,15 @@
         Ok(failed)
     }
 
+    /// A `Parse` of the unnamed statement that fails leaves no unnamed statement, as in PostgreSQL.
+    fn note_failure(&self, step: &Step, session: &mut Session) {
+        if let Step::Parse(change) = step
+            && self.changes[*change].name().is_empty()
+        {
+            session.kept.remove(&[]);
+        }
+    }
+
     fn run_local(&self, step: &LocalStep, session: &mut Session) -> Bytes {
         let mut buffer = BytesMut::new();
         match step {
--- a/crates/frontend/src/caller/prepared.rs
+++ b/crates/frontend/src/caller/prepared.rs
@@ -19,6 +19,7 @@
     ) -> Result<(), Rejection> {
         let mut reader = Reader::new(&frame[HEADER_BYTES..]);
         let name = field(reader.string(), b'P')?;
+        self.replaces_unnamed |= name.is_empty();
         let query = field(reader.string(), b'P')?;
         let type_count = field(reader.u16(), b'P')?;
         field((usize::from(type_count) * 4 == reader.rest().len()).then_some(()), b'P')?;
--- a/crates/frontend/src/caller/requests.rs
+++ b/crates/frontend/src/caller/requests.rs
@@ -60,12 +60,10 @@
             let error = ProtocolError::MalformedMessage(b'Q');
             return self.reject(b'Q', Rejection::Violation(error));
         };
+        // A simple query ends the unnamed statement.
+        self.session.kept.remove(&[]);
         match classify(sql, &self.session.ranks) {
-            Classification::Routed(kind) => {
-                // A simple query ends the unnamed statement.
-                self.session.kept.remove(&[]);
-                self.request(kind, frame.freeze())
-            }
+            Classification::Routed(kind) => self.request(kind, frame.freeze()),
             Classification::Local(statement) => self.answer_locally(&[statement]),
             Classification::LocalSeveral(statements) => self.answer_locally(&statements),
             Classification::Refused(refusal) => self.reject(b'Q', Rejection::Refused(refusal)),
@@ -144,13 +142,21 @@
         Some(CallerMessage::LocalAnswer { answer })
     }
 
+    /// Forgets a batch that is not run.
+    pub(super) fn drop_batch(&mut self) {
+        if self.batch.replaces_unnamed {
+            self.session.kept.remove(&[]);
+        }
+        self.batch.clear();
+    }
+
     /// Drops the request that is being read and encodes the error.
     fn reject(&mut self, tag: u8, rejection: Rejection) -> CallerMessage {
         let (refusal, violation) = match rejection {
             Rejection::Refused(refusal) => (refusal, None),
             Rejection::Violation(error) => (error.refusal(), Some(error)),
         };
-        self.batch.clear();
+        self.drop_batch();
         let mut buffer = BytesMut::new();
         refusal.append_error(&mut buffer);
         if matches!(tag, b'Q' | b'F') {
--- a/crates/frontend/tests/random_bytes.rs
+++ b/crates/frontend/tests/random_bytes.rs
@@ -8,6 +8,7 @@
     BackendCodec, BackendEvent, CallerCodec, CallerMessage, FunctionGroupProtocol, GroupProtocol,
     RankList, Refusal, classify,
 };
+use support::random::Random;
 use support::{
     answer, bind, close, describe, describe_message, execute, flush, greeting, message, parse,
     query, startup, sync,
@@ -17,30 +18,6 @@
 /// What the codec may hold: one message and the read-ahead in the buffer, one request in the batch.
 const MAX_BUFFERED_BYTES: usize = 2 * MAX_REQUEST_BYTES + 8 * 1024;
 
-/// Xorshift generator, so that a seed gives the same bytes on every machine.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
-
-    fn below(&mut self, limit: usize) -> usize {
-        usize::try_from(self.next() % limit as u64).expect("below a usize")
-    }
-
-    fn pick<'a, T: ?Sized>(&mut self, choices: &[&'a T]) -> &'a T {
-        choices[self.below(choices.len())]
-    }
-
-    fn bytes(&mut self, limit: usize) -> Vec<u8> {
-        (0..self.below(limit)).map(|_| self.next().to_le_bytes()[0]).collect()
-    }
-}
-
 /// Text of SQL-like pieces, so that the tokenizer reaches its rarer states.
 fn random_sql(random: &mut Random) -> String {
     let pieces = [
@@ -136,7 +113,7 @@
 #[test]
 fn random_streams_of_callers() {
     for seed in 1..=400 {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut stream: Vec<u8> = Vec::new();
         for _ in 0..random.below(60) {
             stream.extend_from_slice(&random_message(&mut random));
@@ -170,7 +147,7 @@
 #[test]
 fn split_at_every_byte() {
     for seed in 1..=20 {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let messages: Vec<Vec<u8>> = (0..30).map(|_| random_message(&mut random)).collect();
         let stream = messages.concat();
         let expected = run_caller(&mut open_caller(), &[&stream]);
@@ -191,7 +168,7 @@
 #[test]
 fn random_streams_of_backend_servers() {
     for seed in 1..=2_000 {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let (mut codec, _) = BackendCodec::connect("proxy", "ledger-1");
         codec.receive(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat());
         assert_eq!(codec.next_event(), Ok(Some(BackendEvent::Opened)));
@@ -217,7 +194,7 @@
 #[test]
 fn random_answers() {
     for seed in 1..=2_000 {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut codec = open_caller();
         let messages: Vec<Vec<u8>> = (0..10).map(|_| random_message(&mut random)).collect();
         codec.receive(&[messages.concat(), sync()].concat());
@@ -241,7 +218,7 @@
 fn random_sql_text() {
     let ranks = RankList::new(["urgent"], 0);
     for seed in 1..=20_000 {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let _ = classify(random_sql(&mut random).as_bytes(), &ranks);
         let _ = classify(&random.bytes(40), &ranks);
     }
--- a/crates/frontend/tests/support/mod.rs
+++ b/crates/frontend/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
+pub(crate) mod random;
+pub(crate) mod server;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
