Detect pauses of the process and stop waiting for former owners

Cause: in the scenario owner-paused the gap was 3,034 ms at the median although the standby had taken over after 556 ms: callers waited for answers of the former owner.

Change: once another owner is known, a former owner gets 200 ms for an answer that is still missing; reads are then sent to the new owner, the rest ends with its truthful result. A tick that comes 200 ms after the time that was asked for counts as a pause, after which nothing queued runs before the term is confirmed again. Ruled out: the control machine, which steps down on the first heartbeat after the resume, but only after traffic has dispatched.

--- a/crates/core/src/traffic/database_state.rs
+++ b/crates/core/src/traffic/database_state.rs
@@ -35,6 +35,8 @@
     pub(crate) confirmation_time_us: u64,
     /// Time up to which the term is confirmed by a majority.
     pub(crate) confirmed_until_us: Option<u64>,
+    /// When the process resumed after a pause, until the term is confirmed again.
+    pub(crate) resumed_us: Option<u64>,
     /// Time from which on probes must have been sent to satisfy the newest waiting request.
     pub(crate) newest_wait_us: u64,
     /// Probes go on for a while after the last request.
@@ -72,6 +74,7 @@
             history: PositionHistory::default(),
             confirmation_time_us: 0,
             confirmed_until_us: None,
+            resumed_us: None,
             newest_wait_us: 0,
             last_request_us: 0,
             reported_epoch: 0,
@@ -160,7 +163,8 @@
 
     /// Whether a request waits for probes.
     pub(crate) fn awaits_probes(&self) -> bool {
-        !(self.awaiting_token.is_empty()
+        !(self.resumed_us.is_none()
+            && self.awaiting_token.is_empty()
             && self.awaiting_term.is_empty()
             && self.awaiting_primary.is_empty()
             && self.awaiting_replicas.is_empty())
--- a/crates/core/src/traffic/machine.rs
+++ b/crates/core/src/traffic/machine.rs
@@ -21,13 +21,14 @@
 pub struct Traffic<P = FloorPriority> {
     tables: Tables<P>,
     inbox: VecDeque<Event>,
+    next_deadline_us: Option<u64>,
 }
 
 impl<P: DispatchPolicy> Traffic<P> {
     /// Creates the machine.
     #[must_use]
     pub fn new(config: TrafficConfig) -> Self {
-        Self { tables: Tables::new(config), inbox: VecDeque::new() }
+        Self { tables: Tables::new(config), inbox: VecDeque::new(), next_deadline_us: None }
     }
 
     /// Adds a caller that has connected, or says why it is refused.
@@ -50,6 +51,7 @@
     pub fn tick(&mut self, now_us: u64) {
         let tables = &mut self.tables;
         tables.now_us = now_us;
+        systems::note_pause(tables, self.next_deadline_us);
         while let Some(event) = self.inbox.pop_front() {
             systems::take_in(tables, event);
         }
@@ -70,6 +72,7 @@
         systems::connect(tables);
         systems::probe(tables);
         systems::report_quiescence(tables);
+        self.next_deadline_us = systems::next_deadline_us(tables);
     }
 
     /// Takes the actions that the ticks have queued, in order.
@@ -77,10 +80,10 @@
         self.tables.actions.drain(..)
     }
 
-    /// When the machine must be ticked even if no event arrives.
+    /// When the machine must be ticked even if no event arrives, as of the last tick.
     #[must_use]
     pub fn next_deadline_us(&self) -> Option<u64> {
-        systems::next_deadline_us(&self.tables)
+        self.next_deadline_us
     }
 
     /// The settings.
--- a/crates/core/src/traffic/systems.rs
+++ b/crates/core/src/traffic/systems.rs
@@ -23,7 +23,7 @@
 pub(crate) use connecting::connect;
 pub(crate) use delivery::deliver;
 pub(crate) use dispatching::dispatch;
-pub(crate) use expiry::{expire, next_deadline_us};
+pub(crate) use expiry::{expire, next_deadline_us, note_pause};
 pub(crate) use intake::take_in;
 pub(crate) use probing::probe;
 pub(crate) use quiescence::report_quiescence;
--- a/crates/core/src/traffic/systems/confirmation.rs
+++ b/crates/core/src/traffic/systems/confirmation.rs
@@ -36,6 +36,7 @@
             database.confirmed_until_us = Some(confirmed_us);
             database.history.record(confirmed_us, position);
         }
+        database.resumed_us = database.resumed_us.filter(|resumed_us| *resumed_us > confirmed_us);
         confirm_terms(database, works, confirmed_us, position, &mut releases);
         fix_tokens(database, works, confirmed_us, position);
     }
--- a/crates/core/src/traffic/systems/dispatching.rs
+++ b/crates/core/src/traffic/systems/dispatching.rs
@@ -18,7 +18,7 @@
         for instance in &mut database.instances {
             instance.wanted = 0;
         }
-        if database.primary().is_none() {
+        if database.primary().is_none() || database.resumed_us.is_some() {
             continue;
         }
         run_transaction_statements(tables, id);
--- a/crates/core/src/traffic/systems/expiry.rs
+++ b/crates/core/src/traffic/systems/expiry.rs
@@ -10,6 +10,26 @@
 /// Time that a backend server gets to end a cancelled statement before its connection is closed.
 const CANCEL_GRACE_US: u64 = 200_000;
 
+/// Delay of a tick after which the process counts as having been paused.
+const PAUSE_US: u64 = 200_000;
+
+/// Interval of ticks while there is work.
+const PAUSE_CHECK_US: u64 = 100_000;
+
+/// Notes that the process was paused, if the tick comes long after the time that was asked for. Other
+/// hosts may have taken databases over meanwhile, so nothing that was queued before the pause runs until
+/// the term is confirmed again.
+pub(crate) fn note_pause<P: DispatchPolicy>(tables: &mut Tables<P>, expected_us: Option<u64>) {
+    let now_us = tables.now_us;
+    if expected_us.is_none_or(|expected_us| now_us < expected_us + PAUSE_US) {
+        return;
+    }
+    for database in tables.databases.values_mut() {
+        database.resumed_us = Some(now_us);
+        database.newest_wait_us = now_us;
+    }
+}
+
 /// Handles every deadline that has been reached.
 pub(crate) fn expire<P: DispatchPolicy>(tables: &mut Tables<P>) {
     let now_us = tables.now_us;
@@ -100,5 +120,7 @@
             ]
         })
     });
-    indexed.into_iter().chain(of_instances).flatten().min()
+    // A regular tick while there is work is what makes a pause of the process noticeable.
+    let pause_check = (!tables.works.is_empty()).then_some(tables.now_us + PAUSE_CHECK_US);
+    indexed.into_iter().chain(of_instances).chain([pause_check]).flatten().min()
 }
--- a/crates/core/src/traffic/systems/reconfiguration.rs
+++ b/crates/core/src/traffic/systems/reconfiguration.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{completion, delivery, finishing};
+use super::{completion, delivery, finishing, routing};
 use crate::traffic::database_state::DatabaseState;
 use crate::traffic::entry_request::EntryState;
 use crate::traffic::instance_state::InstanceState;
@@ -20,6 +20,7 @@
     tables.view = view;
     add_counters(tables);
     wake_requests(tables);
+    hasten_answers_of_former_owners(tables);
     drop_databases(tables);
     for served in tables.view.served.clone() {
         if tables.config.thread_of(served.database) == tables.config.thread {
@@ -64,6 +65,15 @@
     }
 }
 
+/// Shortens the wait for the answers of former owners. A planned change of owner happens after the
+/// former one has answered everything, so an answer that is still missing will hardly come.
+fn hasten_answers_of_former_owners<P>(tables: &mut Tables<P>) {
+    let sent = tables.requests.keys_where(|row| matches!(row.state, EntryState::Sent { .. }));
+    for key in sent {
+        routing::shorten_wait_for_former_owner(tables, key);
+    }
+}
+
 /// Lets go of the databases that this host no longer owns.
 fn drop_databases<P: DispatchPolicy>(tables: &mut Tables<P>) {
     let ids: Vec<DatabaseId> = tables.databases.keys().copied().collect();
--- a/crates/core/src/traffic/systems/routing.rs
+++ b/crates/core/src/traffic/systems/routing.rs
@@ -17,6 +17,9 @@
 /// cancelled statement 200 ms to end and its confirmation another 200 ms, and two hops are on the way.
 const OWNER_GRACE_US: u64 = 500_000;
 
+/// Time that a former owner gets for an answer after another owner has become known.
+const FORMER_OWNER_GRACE_US: u64 = 200_000;
+
 /// Decides whether a new caller may connect.
 pub(crate) fn admit_caller<P>(tables: &Tables<P>, id: DatabaseId) -> Result<(), ResultCode> {
     let configuration = &tables.view.configuration;
@@ -177,12 +180,31 @@
         payload: request.request.payload.clone(),
     };
     request.state = EntryState::Sent { owner };
-    tables.request_deadlines.remove(request.expires_us, key);
-    request.expires_us = request.deadline_us + OWNER_GRACE_US;
-    tables.request_deadlines.insert(request.expires_us, key);
+    let expires_us = request.deadline_us + OWNER_GRACE_US;
+    set_expiry(tables, key, expires_us);
+    shorten_wait_for_former_owner(tables, key);
     tables.send(owner, TrafficMessage::Execute(execute));
 }
 
+fn set_expiry<P>(tables: &mut Tables<P>, key: RequestKey, expires_us: u64) {
+    let Some(request) = tables.requests.get_mut(key) else { return };
+    tables.request_deadlines.remove(request.expires_us, key);
+    request.expires_us = expires_us;
+    tables.request_deadlines.insert(expires_us, key);
+}
+
+/// Shortens the wait for an answer if the host that has the request is no longer the owner.
+pub(super) fn shorten_wait_for_former_owner<P>(tables: &mut Tables<P>, key: RequestKey) {
+    let Some(request) = tables.requests.get(key) else { return };
+    let Some(caller) = tables.callers.get(request.caller) else { return };
+    let EntryState::Sent { owner } = request.state else { return };
+    let route = tables.view.owner_of(caller.database);
+    if route.is_some_and(|route| route.owner != owner) {
+        let expires_us = request.expires_us.min(tables.now_us + FORMER_OWNER_GRACE_US);
+        set_expiry(tables, key, expires_us);
+    }
+}
+
 /// Leaves a request that certainly has not run for a later routing attempt.
 pub(super) fn await_owner<P>(tables: &mut Tables<P>, key: RequestKey) {
     let Some(request) = tables.requests.get_mut(key) else { return };
@@ -190,9 +212,8 @@
     let retry_us = tables.now_us + wait_us;
     request.attempts += 1;
     request.state = EntryState::AwaitingOwner { retry_us };
-    tables.request_deadlines.remove(request.expires_us, key);
-    request.expires_us = request.deadline_us;
-    tables.request_deadlines.insert(request.expires_us, key);
+    let deadline_us = request.deadline_us;
+    set_expiry(tables, key, deadline_us);
     tables.route_retries.insert(retry_us, key);
 }
 
@@ -253,12 +274,8 @@
 pub(super) fn record_link_loss<P>(tables: &mut Tables<P>, host: HostId) {
     let lost = EntryState::Sent { owner: host };
     for key in tables.requests.keys_where(|request| request.state == lost) {
-        match after_owner_loss(tables, key) {
-            LossStep::Retry => await_owner(tables, key),
-            LossStep::Refuse(code) => {
-                tables.outcomes.push_back((key, Outcome::Refused { code }));
-            }
-        }
+        let step = after_owner_loss(tables, key);
+        settle_loss(tables, key, step);
     }
     for (_, caller) in tables.callers.iter_mut() {
         let at_host = matches!(caller.transaction,
@@ -275,6 +292,13 @@
     Refuse(ResultCode),
 }
 
+fn settle_loss<P>(tables: &mut Tables<P>, key: RequestKey, step: LossStep) {
+    match step {
+        LossStep::Retry => await_owner(tables, key),
+        LossStep::Refuse(code) => tables.outcomes.push_back((key, Outcome::Refused { code })),
+    }
+}
+
 fn after_owner_loss<P>(tables: &mut Tables<P>, key: RequestKey) -> LossStep {
     let in_transaction = in_transaction(tables, key);
     let Some(request) = tables.requests.get(key) else {
@@ -290,21 +314,27 @@
     }
 }
 
-/// Ends a request whose deadline has passed at the entry proxy.
+/// Ends a request whose deadline has passed at the entry proxy, or whose former owner has not answered
+/// in time.
 pub(super) fn expire_request<P>(tables: &mut Tables<P>, key: RequestKey) {
     let Some(request) = tables.requests.get(key) else { return };
     let Some(caller) = tables.callers.get(request.caller) else { return };
-    let (database, kind) = (caller.database, request.request.kind);
-    let code = match request.state {
+    let (database, kind, deadline_us) =
+        (caller.database, request.request.kind, request.deadline_us);
+    let step = match request.state {
         EntryState::Sent { owner } => {
-            let in_transaction = in_transaction(tables, key);
             send_cancel(tables, owner, database, key);
-            code_without_word_of_owner(kind, in_transaction)
+            if tables.now_us < deadline_us {
+                after_owner_loss(tables, key)
+            } else {
+                let in_transaction = in_transaction(tables, key);
+                LossStep::Refuse(code_without_word_of_owner(kind, in_transaction))
+            }
         }
-        _ if tables.view.owner_of(database).is_none() => ResultCode::NoOwner,
-        _ => ResultCode::OwnerUnreachable,
+        _ if tables.view.owner_of(database).is_none() => LossStep::Refuse(ResultCode::NoOwner),
+        _ => LossStep::Refuse(ResultCode::OwnerUnreachable),
     };
-    tables.outcomes.push_back((key, Outcome::Refused { code }));
+    settle_loss(tables, key, step);
 }
 
 /// Result of a request that the owner was given and has not reported on.
--- a/crates/core/tests/world/callers.rs
+++ b/crates/core/tests/world/callers.rs
@@ -38,7 +38,9 @@
         status: TransactionStatus,
     },
     /// The host has closed the connection because it shuts down.
-    Closed { at_us: u64 },
+    Closed {
+        at_us: u64,
+    },
     /// The host has died.
     Disconnected,
     /// The caller has waited too long and gives up.
