--- /dev/null
+++ b/crates/standin/src/database/faults.rs
@@ -0,0 +1,40 @@
+//! Fault switches of an instance.
+
+use std::time::Duration;
+
+use super::error::SqlError;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Faults {
+    /// No replication message is sent or handled.
+    pub(crate) cut_group: bool,
+    /// Data connections are neither read nor answered.
+    pub(crate) cut_proxies: bool,
+    /// Age at which a replica applies a log entry.
+    pub(crate) lag: Duration,
+    pub(crate) service_time: Duration,
+    pub(crate) connect_time: Duration,
+    /// New data connections are closed at once.
+    pub(crate) refuse_connections: bool,
+    /// Commits that are still to take effect without an answer.
+    pub(crate) drop_answers: u64,
+}
+
+impl Faults {
+    /// Sets the fault `name`: 0 or 1 for a switch, otherwise an amount in the unit of its suffix.
+    pub(crate) fn set(&mut self, name: &str, value: i64) -> Result<(), SqlError> {
+        let amount = u64::try_from(value)
+            .map_err(|_| SqlError::new("22023", format!("{name} must not be negative")))?;
+        match name {
+            "cut_group" => self.cut_group = amount != 0,
+            "cut_proxies" => self.cut_proxies = amount != 0,
+            "lag_ms" => self.lag = Duration::from_millis(amount),
+            "service_time_us" => self.service_time = Duration::from_micros(amount),
+            "connect_time_us" => self.connect_time = Duration::from_micros(amount),
+            "refuse_connections" => self.refuse_connections = amount != 0,
+            "drop_answer" => self.drop_answers = amount,
+            _ => return Err(SqlError::new("22023", format!("unknown fault {name:?}"))),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/database/sql.rs
@@ -0,0 +1,11 @@
+//! Parser for the SQL subset of the database stand-in.
+
+mod ast;
+mod expression;
+mod lexer;
+mod parser;
+
+pub(crate) use ast::{
+    Aggregate, Column, CreateTable, Expression, Operator, Select, SelectItem, Source, Statement,
+};
+pub(crate) use parser::parse;
