Add the key-value service and host list stand-ins

The proxy's platform clients need a store and a host list that fail on demand.

The HTTP server is written on httparse, because tiny_http cannot close a connection without an answer, which lost answers and outages need. The store has compare-and-swap, blocking queries, sessions and call counts; the host list has a settable lag. The binary runs each stand-in.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,11 @@
 //! thread per connection and keeps everything in memory.
 
 mod database;
+mod host_list;
+mod http;
 mod server;
+mod store;
 
 pub use database::{Database, DatabaseConfig, Storage};
+pub use host_list::HostList;
+pub use store::Store;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,7 +6,7 @@
 use std::{io, thread};
 
 use clap::{Args, Parser, Subcommand};
-use flamingorock_standin::{Database, DatabaseConfig};
+use flamingorock_standin::{Database, DatabaseConfig, HostList, Store};
 
 /// Stand-ins for the systems around flamingorock, for tests and the quick start.
 #[derive(Parser)]
@@ -20,6 +20,17 @@
 enum Command {
     /// Database instance: PostgreSQL protocol, replication and a control port.
     Database(DatabaseArguments),
+    /// Key-value service: Consul KV HTTP API.
+    Store(HttpArguments),
+    /// Host list: Consul catalog HTTP API.
+    HostList(HttpArguments),
+}
+
+#[derive(Args)]
+struct HttpArguments {
+    /// Address to listen on, IP:PORT.
+    #[arg(long)]
+    listen: SocketAddr,
 }
 
 #[derive(Args)]
@@ -65,6 +76,14 @@
             let database = Database::start(arguments.listen, &config)?;
             run_until_killed(database.address())
         }
+        Command::Store(arguments) => {
+            let store = Store::start(arguments.listen)?;
+            run_until_killed(store.address())
+        }
+        Command::HostList(arguments) => {
+            let host_list = HostList::start(arguments.listen)?;
+            run_until_killed(host_list.address())
+        }
     }
 }
 
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers shared by the tests.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub(crate) mod web;
+
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
