Split the parser and the session of the database stand-in

The parser is split by kind of statement, and the execution of queries leaves the session; no behaviour changes.

--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -10,6 +10,7 @@
 mod group;
 mod instance;
 mod project;
+mod query;
 mod replication;
 mod session;
 mod sql;
--- a/crates/standin/src/database/describe.rs
+++ b/crates/standin/src/database/describe.rs
@@ -27,7 +27,7 @@
 ) -> Result<Description, SqlError> {
     let mut context = Context { columns: Vec::new(), parameters: Vec::new() };
     for (index, oid) in declared.iter().enumerate().filter(|(_, oid)| **oid != 0) {
-        context.set(index, Type::from_oid(*oid));
+        context.parameter(index, Some(Type::from_oid(*oid)));
     }
     let columns = context.statement(statement, view)?;
     let parameters = context.parameters.iter().map(|ty| ty.unwrap_or(Type::Text)).collect();
@@ -120,11 +120,13 @@
         expression.map_or(Ok(()), |expression| self.expression(expression, Some(ty)).map(drop))
     }
 
-    fn set(&mut self, index: usize, ty: Type) {
+    /// Type of a parameter, which takes the expected type unless it has one already.
+    fn parameter(&mut self, index: usize, expected: Option<Type>) -> Option<Type> {
         if self.parameters.len() <= index {
             self.parameters.resize(index + 1, None);
         }
-        self.parameters[index].get_or_insert(ty);
+        self.parameters[index] = self.parameters[index].or(expected);
+        self.parameters[index]
     }
 
     /// Type of an expression; `expected` is the type that its surroundings ask for, if any. A
@@ -140,16 +142,7 @@
             }
             Expression::Literal(Value::Bool(_)) => Some(Type::Bool),
             Expression::Literal(_) => expected,
-            Expression::Parameter(index) => {
-                if let Some(ty) = expected {
-                    self.set(*index, ty);
-                }
-                self.parameters.get(*index).copied().flatten().or_else(|| {
-                    // The parameter counts even when no type is known for it.
-                    self.parameters.resize(self.parameters.len().max(index + 1), None);
-                    None
-                })
-            }
+            Expression::Parameter(index) => self.parameter(*index, expected),
             Expression::Column(name) => {
                 let missing = || SqlError::new("42703", format!("column {name:?} does not exist"));
                 let column = self.columns.iter().find(|column| column.name == *name);
@@ -172,8 +165,10 @@
             Expression::Aggregate(kind, argument) => {
                 let argument = argument.as_ref().map(|inner| self.expression(inner, None));
                 let ty = argument.transpose()?.flatten();
-                let keeps_type = matches!(kind, Aggregate::Min | Aggregate::Max);
-                if keeps_type { ty } else { Some(Type::Int8) }
+                match kind {
+                    Aggregate::Min | Aggregate::Max => ty,
+                    Aggregate::Count | Aggregate::Sum => Some(Type::Int8),
+                }
             }
         })
     }
--- a/crates/standin/src/database/sql.rs
+++ b/crates/standin/src/database/sql.rs
@@ -4,6 +4,8 @@
 mod expression;
 mod lexer;
 mod parser;
+mod query;
+mod statement;
 
 pub(crate) use ast::{
     Aggregate, Column, CreateTable, Expression, Operator, Select, SelectItem, Source, Statement,
