Bound the amounts of faults and document the switches

A fault amount or pg_sleep argument near the largest integer overflowed the addition to a clock reading and ended a thread. The handles list their switches. New tests: service and connect time, and promotion of a lagging replica.

--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -66,6 +66,14 @@
 }
 
 /// A running database instance; it stops when the handle is dropped.
+///
+/// `SELECT standin_fault('NAME', VALUE)` sets a fault, on the control port at any time:
+///
+/// - `cut_group`, 0 or 1: no replication message is sent or handled;
+/// - `cut_proxies`, 0 or 1: data connections stay open, but are neither read nor answered;
+/// - `refuse_connections`, 0 or 1: new data connections are closed at once;
+/// - `lag_ms`, `service_time_us`, `connect_time_us`: as in [`DatabaseConfig`];
+/// - `drop_answer`, number of commits that take effect and break their connection.
 pub struct Database {
     instance: Arc<Instance>,
     data: Server,
--- a/crates/standin/src/database/faults.rs
+++ b/crates/standin/src/database/faults.rs
@@ -4,6 +4,9 @@
 
 use super::error::SqlError;
 
+/// Largest amount of a fault: one day in microseconds, so that adding it to a time cannot overflow.
+const AMOUNT_LIMIT: u64 = 86_400_000_000;
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Faults {
     /// No replication message is sent or handled.
@@ -23,8 +26,9 @@
 impl Faults {
     /// Sets the fault `name`: 0 or 1 for a switch, otherwise an amount in the unit of its suffix.
     pub(crate) fn set(&mut self, name: &str, value: i64) -> Result<(), SqlError> {
-        let amount = u64::try_from(value)
-            .map_err(|_| SqlError::new("22023", format!("{name} must not be negative")))?;
+        let amount = u64::try_from(value).ok().filter(|amount| *amount <= AMOUNT_LIMIT);
+        let out_of_range = || SqlError::new("22023", format!("{name} takes 0 to {AMOUNT_LIMIT}"));
+        let amount = amount.ok_or_else(out_of_range)?;
         match name {
             "cut_group" => self.cut_group = amount != 0,
             "cut_proxies" => self.cut_proxies = amount != 0,
--- a/crates/standin/src/database/query.rs
+++ b/crates/standin/src/database/query.rs
@@ -11,6 +11,9 @@
 use super::sql::{Column, Expression, Select, SelectItem, Source, Statement};
 use super::value::{Type, Value};
 
+/// Longest argument of `pg_sleep`: one day, so that adding it to a time cannot overflow.
+const SLEEP_LIMIT_S: f64 = 86_400.0;
+
 impl Session {
     pub(super) fn query(
         &mut self,
@@ -49,10 +52,10 @@
             && let Some(("pg_sleep", arguments)) = single_call(select)
         {
             let arguments = evaluate_all(arguments, Scope { parameters, ..Scope::default() })?;
-            let seconds = arguments.first().and_then(|value| value.to_text().parse().ok());
-            let duration = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-            let duration =
-                duration.ok_or_else(|| SqlError::new("22023", "pg_sleep needs seconds"))?;
+            let seconds = arguments.first().and_then(|value| value.to_text().parse::<f64>().ok());
+            let seconds = seconds.filter(|seconds| (0.0..=SLEEP_LIMIT_S).contains(seconds));
+            let error = || SqlError::new("22023", "pg_sleep takes at most a day of seconds");
+            let duration = Duration::from_secs_f64(seconds.ok_or_else(error)?);
             self.sleep(duration)?;
             return Ok(Outcome::rows(vec![vec![Value::Text(String::new())]]));
         }
--- a/crates/standin/src/host_list.rs
+++ b/crates/standin/src/host_list.rs
@@ -35,6 +35,9 @@
 }
 
 /// A running host list; it stops when the handle is dropped.
+///
+/// `PUT /standin/hosts` replaces the list. `PUT /standin/fault?NAME=VALUE` sets the faults `lag_ms`
+/// (time until a later change of the list is visible) and `outage` (`true`: no answers).
 pub struct HostList {
     server: Server,
 }
@@ -95,7 +98,7 @@
     fn set_faults(&mut self, query: &BTreeMap<String, String>) -> Option<()> {
         for (name, value) in query {
             match name.as_str() {
-                "lag_ms" => self.lag = Duration::from_millis(value.parse().ok()?),
+                "lag_ms" => self.lag = Duration::from_millis(value.parse::<u32>().ok()?.into()),
                 "outage" => self.is_out = value.parse().ok()?,
                 _ => return None,
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -42,6 +42,11 @@
 }
 
 /// A running key-value service; it stops when the handle is dropped.
+///
+/// `PUT /standin/fault?NAME=VALUE&...` sets the faults `latency_ms`, `outage` (`true`: no answers,
+/// `errors`: status 500, `false`), `lose_answers` (number of writes that take effect without an
+/// answer), `stale_reads` (`true`: reads return the state before the last change of a key) and
+/// `rate_limit_per_s` (0: no limit). `GET /standin/calls` returns the counts of calls.
 pub struct Store {
     service: Arc<Service>,
     server: Server,
@@ -239,11 +244,11 @@
 /// Reads a duration such as `10s`, `500ms` or `5m`.
 fn parse_duration(text: &str) -> Option<Duration> {
     let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
-    let number: u64 = digits.parse().ok()?;
+    let number: u64 = digits.parse::<u32>().ok()?.into();
     match &text[digits.len()..] {
         "ms" => Some(Duration::from_millis(number)),
         "s" | "" => Some(Duration::from_secs(number)),
-        "m" => Some(Duration::from_secs(number.checked_mul(60)?)),
+        "m" => Some(Duration::from_secs(number * 60)),
         _ => None,
     }
 }
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use flamingorock_standin::DatabaseConfig;
 use support::{connect, rows, set_fault, start_primary, try_connect, wait_for};
@@ -38,7 +39,7 @@
         let cancel = thread::spawn({
             let other_token = other_token.clone();
             move || {
-                thread::sleep(std::time::Duration::from_millis(20));
+                thread::sleep(Duration::from_millis(20));
                 other_token.cancel_query(postgres::NoTls)
             }
         });
@@ -82,7 +83,7 @@
     let write = thread::spawn(move || rows(&mut client, "INSERT INTO lot VALUES (1) RETURNING id"));
     let address = primary.address();
     let opened = thread::spawn(move || rows(&mut connect(address), "SELECT 2"));
-    thread::sleep(std::time::Duration::from_millis(100));
+    thread::sleep(Duration::from_millis(100));
     assert!(!write.is_finished() && !opened.is_finished());
     assert_eq!(rows(&mut control, "SELECT count(*) FROM lot"), ["0"]);
     set_fault(&mut control, "cut_proxies", 0);
@@ -101,6 +102,23 @@
     assert!(control.simple_query("SELECT standin_fault('no_such_fault', 1)").is_err());
 }
 
+/// Guards against time switches without an effect, and against one that delays the control port.
+#[test]
+fn statements_and_connections_take_their_time() {
+    let (primary, mut control) = start_primary(&DatabaseConfig::default());
+    set_fault(&mut control, "connect_time_us", 60_000);
+    let started_at = Instant::now();
+    let mut client = connect(primary.address());
+    assert!(started_at.elapsed() >= Duration::from_millis(60));
+    set_fault(&mut control, "service_time_us", 70_000);
+    let started_at = Instant::now();
+    assert_eq!(rows(&mut client, "SELECT 1; SELECT 2"), ["1", "2"]);
+    assert!(started_at.elapsed() >= Duration::from_millis(140));
+    let out_of_range = "SELECT standin_fault('service_time_us', 9223372036854775807)";
+    assert!(control.simple_query(out_of_range).is_err());
+    assert_eq!(rows(&mut control, "SELECT 1"), ["1"]);
+}
+
 /// Guards against a random byte stream that harms other connections.
 #[test]
 fn malformed_bytes_cost_their_connection_only() {
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -126,6 +126,22 @@
     wait_for("entry is applied", || status(&mut replica_control) == "1|1|2|replica");
 }
 
+/// Guards against a new primary with entries that it never reported: they can miss on a majority.
+#[test]
+fn promotion_drops_entries_that_are_not_applied() {
+    let (primary, mut control) = start_primary(&DatabaseConfig::default());
+    let (_replica, mut replica_control) = start_replica(&primary, 1);
+    wait_for("replica follows", || status(&mut replica_control) == "1|1|1|replica");
+    set_fault(&mut replica_control, "lag_ms", 3_600_000);
+    rows(&mut control, "CREATE TABLE lot (id int8)");
+    wait_for("silence", || heard_ms(&mut replica_control) > 50);
+    wait_for("entry or keepalive after it", || heard_ms(&mut replica_control) < 50);
+    rows(&mut replica_control, "SELECT * FROM flamingorock_promote(2)");
+    set_fault(&mut replica_control, "lag_ms", 0);
+    assert_eq!(status(&mut replica_control), "2|2|2|primary");
+    assert_eq!(sqlstate(&mut replica_control, "SELECT * FROM lot"), "42P01");
+}
+
 /// Guards against an accepted term or a committed transaction that is lost with a crash.
 #[test]
 fn resumed_instance_keeps_term_and_log() {
