Make the cancel and slot tests of the database stand-in deterministic

The cancel test failed once in 20 runs: a cancel request is handled after the client has sent it, so a repeated one could hit the next statement. The test now speaks the protocol itself and waits until each request has been handled; it also checks that a wrong secret has no effect. The slot test relied on the same timing; it now measures that statements with a service time run one after the other.

--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -24,35 +24,30 @@
     assert_eq!(rows(&mut first, "SELECT 1"), ["1"]);
 }
 
-/// Guards against more statements at a time than slots, and against status calls that wait for one.
+/// Guards against more statements at a time than slots, and against status calls or control
+/// connections that wait for a slot.
 #[test]
 fn slots_limit_statements_but_not_status_calls() {
-    let config = DatabaseConfig { slots: 1, ..DatabaseConfig::default() };
+    let config = DatabaseConfig { slots: 1, service_time_us: 50_000, ..DatabaseConfig::default() };
     let (primary, mut control) = start_primary(&config);
-    let mut sleeper = connect(primary.address());
-    let token = sleeper.cancel_token();
-    let sleeping = thread::spawn(move || sleeper.simple_query("SELECT pg_sleep(600)").is_err());
-    let mut other = connect(primary.address());
-    let other_token = other.cancel_token();
-    // The waiting statement is cancelled; it would end without an error if it had a slot.
-    let waits = || {
-        let cancel = thread::spawn({
-            let other_token = other_token.clone();
-            move || {
-                thread::sleep(Duration::from_millis(20));
-                other_token.cancel_query(postgres::NoTls)
-            }
-        });
-        let waits = other.simple_query("SELECT 1").is_err();
-        cancel.join().unwrap().unwrap();
-        waits
-    };
-    wait_for("slot is taken", waits);
-    assert_eq!(rows(&mut other, "SELECT ok FROM flamingorock_status()"), ["t"]);
+    let address = primary.address();
+    let select = move || connect(address).simple_query("SELECT 1").is_ok();
+    let started_at = Instant::now();
+    let selects: Vec<_> = (0..4).map(|_| thread::spawn(select)).collect();
+    assert!(selects.into_iter().all(|select| select.join().unwrap()));
+    assert!(started_at.elapsed() >= Duration::from_millis(4 * 50));
+
+    set_fault(&mut control, "service_time_us", 86_400_000_000);
+    let selects: Vec<_> = (0..2).map(|_| thread::spawn(select)).collect();
+    thread::sleep(Duration::from_millis(100));
+    let status =
+        thread::spawn(move || rows(&mut connect(address), "SELECT ok FROM flamingorock_status()"));
+    wait_for("status is answered", || status.is_finished());
+    assert_eq!(status.join().unwrap(), ["t"]);
     assert_eq!(rows(&mut control, "SELECT 1"), ["1"]);
-    token.cancel_query(postgres::NoTls).unwrap();
-    assert!(sleeping.join().unwrap());
-    assert_eq!(rows(&mut other, "SELECT 1"), ["1"]);
+    assert!(selects.iter().all(|select| !select.is_finished()));
+    drop(primary);
+    assert!(selects.into_iter().all(|select| !select.join().unwrap()));
 }
 
 /// Guards against a lost answer whose commit is lost as well.
--- a/crates/standin/tests/sql.rs
+++ b/crates/standin/tests/sql.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
 use flamingorock_standin::{Database, DatabaseConfig};
 use postgres::Client;
 use support::{connect, rows, sqlstate, start_primary, wait_for};
@@ -125,25 +128,76 @@
     assert_eq!(rows(&mut client, "SELECT n FROM account"), ["200"]);
 }
 
-/// Guards against a cancel request that is ignored, or that hits a statement of another time.
+/// Connection on the level of the protocol, whose cancel requests are known to be handled.
+struct RawClient {
+    stream: TcpStream,
+    /// Process id and secret key.
+    key: [u8; 8],
+}
+
+impl RawClient {
+    fn connect(address: SocketAddr) -> Self {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(b"\0\0\0\x10\0\x03\0\0user\0a\0\0").unwrap();
+        let greeting = read_to_ready(&mut stream);
+        let tag = b"K\0\0\0\x0c";
+        let start = greeting.windows(5).position(|bytes| bytes == tag).unwrap() + tag.len();
+        Self { stream, key: greeting[start..start + 8].try_into().unwrap() }
+    }
+
+    /// Runs a query; returns whether it was cancelled.
+    fn is_cancelled(&mut self, sql: &str) -> bool {
+        let length = u32::try_from(sql.len() + 5).unwrap().to_be_bytes();
+        let message = [b"Q", &length[..], sql.as_bytes(), b"\0"].concat();
+        self.stream.write_all(&message).unwrap();
+        read_to_ready(&mut self.stream).windows(5).any(|bytes| bytes == b"57014")
+    }
+}
+
+/// Reads up to a `ReadyForQuery` message outside a transaction.
+fn read_to_ready(stream: &mut TcpStream) -> Vec<u8> {
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"Z\0\0\0\x05I") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        answer.extend(byte);
+    }
+    answer
+}
+
+/// Sends a cancel request and waits until the server has handled it and closes the connection.
+fn cancel(address: SocketAddr, key: [u8; 8]) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(&[&b"\0\0\0\x10\x04\xd2\x16\x2e"[..], &key].concat()).unwrap();
+    stream.read_to_end(&mut Vec::new()).unwrap();
+}
+
+/// Guards against a cancel request that is ignored, that needs no secret, or that hits a statement of
+/// another time.
 #[test]
 fn cancel_interrupts_the_running_statement_only() {
-    let (primary, mut client) = primary_with_table();
-    let token = client.cancel_token();
-    token.cancel_query(postgres::NoTls).unwrap();
-    assert_eq!(rows(&mut client, "SELECT 1"), ["1"]);
+    let (primary, _client) = primary_with_table();
+    let address = primary.address();
+    let mut client = RawClient::connect(address);
+    let key = client.key;
+    cancel(address, key);
+    assert!(!client.is_cancelled("SELECT 1"));
 
     let sleeper = std::thread::spawn(move || {
-        let code = sqlstate(&mut client, "SELECT pg_sleep(600)");
-        (code, rows(&mut client, "SELECT 2"))
+        let cancelled = client.is_cancelled("SELECT pg_sleep(600)");
+        (cancelled, client)
     });
+    let mut wrong_key = key;
+    wrong_key[7] ^= 1;
+    cancel(address, wrong_key);
+    assert!(!sleeper.is_finished());
     wait_for("cancelled", || {
-        token.cancel_query(postgres::NoTls).unwrap();
+        cancel(address, key);
         sleeper.is_finished()
     });
-    let (code, after) = sleeper.join().unwrap();
-    assert_eq!((code.as_str(), after), ("57014", vec!["2".to_owned()]));
-    drop(primary);
+    let (cancelled, mut client) = sleeper.join().unwrap();
+    assert!(cancelled);
+    assert!(!client.is_cancelled("SELECT 2"));
 }
 
 /// Guards against settings and prepared statements that one user of a connection leaves to the next.
