--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,6 +1,7 @@
 //! Key-value service: the part of the Consul KV HTTP API that the design page names.
 
 mod entries;
+mod error;
 mod faults;
 mod sessions;
 
@@ -17,6 +18,7 @@
 use crate::http::{self, Answer, Reply, Request};
 use crate::server::{self, Server};
 use entries::{Entries, Entry, Write};
+use error::StoreError;
 use faults::{Calls, StoreFaults};
 use sessions::Sessions;
 
@@ -120,17 +122,17 @@
     fn set_faults(&self, request: &Request) -> Reply {
         let result = self.lock().faults.set(&request.query);
         self.changed.notify_all();
-        result.map_or_else(|error| Reply::text(400, error), |()| Reply::text(200, "true"))
+        result.map_or_else(malformed, |()| Reply::text(200, "true"))
     }
 
     /// Reads a key; with `index`, waits until the key has changed after that index.
     fn get<'a>(&'a self, mut state: MutexGuard<'a, State>, key: &str, request: &Request) -> Reply {
         let parameter = |name: &str| request.query.get(name).map(String::as_str);
         let Ok(after) = parameter("index").unwrap_or("0").parse::<u64>() else {
-            return Reply::text(400, "malformed index");
+            return malformed(StoreError::value("index", parameter("index").unwrap_or_default()));
         };
         let Some(wait) = parameter("wait").map_or(Some(DEFAULT_WAIT), parse_duration) else {
-            return Reply::text(400, "malformed wait");
+            return malformed(StoreError::value("wait", parameter("wait").unwrap_or_default()));
         };
         if after > 0 {
             let deadline = Instant::now() + wait.min(WAIT_LIMIT);
@@ -193,7 +195,7 @@
         }
         let write = match Write::from_query(&request.query) {
             Ok(write) => write,
-            Err(error) => return Reply::text(400, error),
+            Err(error) => return malformed(error),
         };
         if let Write::Acquire(session) | Write::Release(session) = &write
             && !self.sessions.contains(session)
@@ -211,7 +213,7 @@
         match path.split_once('/').unwrap_or((path, "")) {
             ("create", _) => match self.sessions.create(&request.body, now) {
                 Ok(id) => Reply::json(&json!({ "ID": id })),
-                Err(error) => Reply::text(400, error),
+                Err(error) => malformed(error),
             },
             ("renew", id) if self.sessions.renew(id, now) => Reply::json(&json!([{ "ID": id }])),
             ("renew", id) => Reply::text(404, format!("session {id:?} does not exist")),
@@ -241,6 +243,10 @@
     json
 }
 
+fn malformed(error: StoreError) -> Reply {
+    Reply::text(400, error.to_string())
+}
+
 /// Reads a duration such as `10s`, `500ms` or `5m`.
 fn parse_duration(text: &str) -> Option<Duration> {
     let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
--- a/crates/standin/src/store/entries.rs
+++ b/crates/standin/src/store/entries.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use super::error::StoreError;
+
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
     pub(super) value: Vec<u8>,
@@ -41,9 +43,9 @@
 }
 
 impl Write {
-    pub(super) fn from_query(query: &BTreeMap<String, String>) -> Result<Self, String> {
+    pub(super) fn from_query(query: &BTreeMap<String, String>) -> Result<Self, StoreError> {
         if let Some(index) = query.get("cas") {
-            let index = index.parse().map_err(|_| format!("malformed cas index {index:?}"))?;
+            let index = index.parse().map_err(|_| StoreError::value("cas", index))?;
             return Ok(Self::CompareAndSwap(index));
         }
         let acquire = query.get("acquire").cloned().map(Self::Acquire);
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -6,6 +6,7 @@
 
 use serde_json::json;
 
+use super::error::StoreError;
 use crate::http::Reply;
 
 /// How requests fail during an outage.
@@ -35,7 +36,7 @@
 
 impl StoreFaults {
     /// Sets the faults that a query string names.
-    pub(super) fn set(&mut self, query: &BTreeMap<String, String>) -> Result<(), String> {
+    pub(super) fn set(&mut self, query: &BTreeMap<String, String>) -> Result<(), StoreError> {
         for (name, value) in query {
             match name.as_str() {
                 "latency_ms" => self.latency = Duration::from_millis(parse(name, value)?),
@@ -50,10 +51,10 @@
                         "true" => Outage::Withheld,
                         "errors" => Outage::Errors,
                         "false" => Outage::None,
-                        _ => return Err(format!("malformed value of {name}: {value:?}")),
+                        _ => return Err(StoreError::value(name, value)),
                     }
                 }
-                _ => return Err(format!("unknown fault {name:?}")),
+                _ => return Err(StoreError::UnknownFault(name.clone())),
             }
         }
         Ok(())
@@ -97,8 +98,8 @@
     }
 }
 
-fn parse<T: FromStr>(name: &str, value: &str) -> Result<T, String> {
-    value.parse().map_err(|_| format!("malformed value of {name}: {value:?}"))
+fn parse<T: FromStr>(name: &str, value: &str) -> Result<T, StoreError> {
+    value.parse().map_err(|_| StoreError::value(name, value))
 }
 
 /// Calls since the start, refused ones included.
--- a/crates/standin/src/store/sessions.rs
+++ b/crates/standin/src/store/sessions.rs
@@ -6,6 +6,8 @@
 
 use serde::Deserialize;
 
+use super::error::StoreError;
+
 /// Body of a request that creates a session.
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
@@ -28,15 +30,15 @@
 pub(super) struct Sessions(BTreeMap<String, Session>);
 
 impl Sessions {
-    pub(super) fn create(&mut self, body: &[u8], now: Instant) -> Result<String, String> {
+    pub(super) fn create(&mut self, body: &[u8], now: Instant) -> Result<String, StoreError> {
         let options = match body {
             [] => Options::default(),
-            body => serde_json::from_slice(body).map_err(|error| error.to_string())?,
+            body => serde_json::from_slice(body).map_err(StoreError::SessionOptions)?,
         };
         let ttl = match options.ttl.as_str() {
             "" => None,
             text => {
-                Some(super::parse_duration(text).ok_or_else(|| format!("malformed TTL {text:?}"))?)
+                Some(super::parse_duration(text).ok_or_else(|| StoreError::value("TTL", text))?)
             }
         };
         let (high, low) = (random(), random());
