--- a/crates/core/src/control/systems/group_answers.rs
+++ b/crates/core/src/control/systems/group_answers.rs
@@ -7,9 +7,6 @@
 use crate::traffic::ProbeFailure;
 use crate::{DatabaseId, GroupCallKey, InstanceReport, Term};
 
-/// Delay before a failed fencing or follow call is repeated.
-const RETRY_US: u64 = 100_000;
-
 /// Answers that have arrived count before deadlines, which both can be due after a delay of this
 /// process.
 pub(crate) fn run(tables: &mut Tables) {
@@ -17,20 +14,40 @@
         finish(tables, key, result);
     }
     for key in tables.deadlines.group_call.take_due(tables.now_us) {
-        finish(tables, key, Err(ProbeFailure::Timeout));
+        if !miss(tables, key) {
+            finish(tables, key, Err(ProbeFailure::Timeout));
+        }
     }
 }
 
+/// Counts a status call as missed long before its deadline. The next one goes out meanwhile, and the
+/// answer still counts if it comes: the instance may just be slow.
+fn miss(tables: &mut Tables, key: GroupCallKey) -> bool {
+    let Some(&call) = tables.group_calls.get(key) else { return false };
+    let resumed_at_us = tables.resumed_at_us;
+    let Some(state) = tables.instance_mut(call.instance) else { return false };
+    if state.status_call.take_if(|present| *present == key).is_none() {
+        return false;
+    }
+    // What went unanswered during a delay of this process says nothing.
+    state.note_failure(call.sent_at_us.max(resumed_at_us), ProbeFailure::Timeout);
+    tables.counters.group_failures += 1;
+    tables.deadlines.group_call.set(key, call.sent_at_us + monitor::STATUS_LIMIT_US);
+    monitor::schedule(tables, call.instance);
+    tables.deadlines.owned.set_earlier(call.instance.database, tables.now_us);
+    true
+}
+
 fn finish(tables: &mut Tables, key: GroupCallKey, result: GroupResult) {
     let Some(call) = tables.group_calls.remove(key) else { return };
     tables.deadlines.group_call.cancel(key);
-    if result.is_err() {
-        tables.counters.group_failures += 1;
-    }
     let database = call.instance.database;
     if !take_instance_state(tables, key, &call, result) {
         return;
     }
+    if result.is_err() {
+        tables.counters.group_failures += 1;
+    }
     if let GroupOperation::Promote(term) = call.operation {
         take_promotion(tables, &call, term, result);
     }
@@ -53,38 +70,35 @@
 ) -> bool {
     let now_us = tables.now_us;
     let Some(owned) = tables.owned.get_mut(&call.instance.database) else { return false };
-    let term = owned.term;
+    let (term, is_stale) = (owned.term, call.sent_at_us < owned.monitored_since_us);
     let Some(state) = owned.instances.get_mut(usize::from(call.instance.index)) else {
         return false;
     };
-    let accepted = result.is_ok_and(|report| report.accepted);
-    let retry_at_us = if accepted { now_us } else { now_us + RETRY_US };
-    match call.operation {
+    let is_current = match call.operation {
+        // The answer to a missed call counts; its failure has been counted.
         GroupOperation::Status => {
-            if state.status_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            if let Err(failure) = result {
-                state.note_failure(call.sent_at_us, failure);
-            }
+            let is_expected = state.status_call.take_if(|present| *present == key).is_some();
+            is_expected || (result.is_ok() && !is_stale)
         }
         GroupOperation::AcceptTerm(_) => {
-            if state.fence_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            state.fence_failed = !accepted;
-            state.retry_at_us = retry_at_us;
-            state.fenced = result.ok().filter(|report| report.accepted).map(|r| r.position);
+            state.fence_call.take_if(|present| *present == key).is_some()
         }
         GroupOperation::Follow { .. } => {
-            if state.follow_call.take_if(|present| *present == key).is_none() {
-                return false;
-            }
-            state.retry_at_us = retry_at_us;
-            state.following_since_us = accepted.then_some(now_us);
+            state.follow_call.take_if(|present| *present == key).is_some()
+        }
+        GroupOperation::Promote(promoted) => promoted == term,
+    };
+    if !is_current {
+        return false;
+    }
+    let report = result.ok().filter(|report| report.accepted);
+    match (call.operation, result) {
+        (GroupOperation::Status, Err(failure)) => {
+            state.note_failure(call.sent_at_us.max(tables.resumed_at_us), failure);
         }
-        GroupOperation::Promote(promoted) if promoted != term => return false,
-        GroupOperation::Promote(_) => {}
+        (GroupOperation::AcceptTerm(_), _) => state.note_fenced(report, now_us),
+        (GroupOperation::Follow { .. }, _) => state.note_following(report.is_some(), now_us),
+        _ => {}
     }
     if let Ok(report) = result {
         state.note_report(report, call.sent_at_us, now_us);
@@ -103,8 +117,8 @@
     match result {
         Ok(report) if report.accepted => fencing::open(tables, call.instance),
         // The term was too low: `check_term` raises it.
-        Ok(_) => {}
-        Err(_) => {
+        Ok(report) if report.accepted_term > term => {}
+        _ => {
             owned.phase = Phase::Resolving { index, since_us: now_us };
             tables.deadlines.instance.set(call.instance, now_us);
         }
--- a/crates/core/src/control/systems/ownership.rs
+++ b/crates/core/src/control/systems/ownership.rs
@@ -7,6 +7,9 @@
 
 /// Time without owner and standby after which any host may claim a database.
 const CLAIM_DELAY_US: u64 = 2_000_000;
+/// Doublings of the delay for a host that keeps losing the database to an owner that it cannot hear.
+/// Two hosts that are cut off from each other only would otherwise take turns every few seconds.
+const CLAIM_DELAY_DOUBLINGS: u32 = 5;
 /// Delay between the hosts of the rendezvous order.
 const CLAIM_STEP_US: u64 = 300_000;
 /// Hosts that wait in order; those behind all wait as long as the last of these.
@@ -27,8 +30,10 @@
     Wait(Option<u64>),
     /// Take over with the reserved epoch.
     TakeOver(u32),
+    /// Read the ownership record to learn who owns the database.
+    LookUp,
     /// Read the ownership record and claim the database if the record allows it.
-    ReadRecord,
+    Claim,
 }
 
 pub(crate) fn run(tables: &mut Tables) {
@@ -40,9 +45,10 @@
             Step::Wait(None) => {}
             Step::Wait(Some(due_us)) => tables.deadlines.route.set(database, due_us),
             Step::TakeOver(epoch) => take_over(tables, database, epoch),
-            Step::ReadRecord => {
+            step @ (Step::LookUp | Step::Claim) => {
                 let route = tables.routes.get_mut(&database).expect("assessed just now");
                 route.is_record_busy = true;
+                route.is_looked_up |= step == Step::LookUp;
                 tables.record_queue.push_back(StoreOperation::GetOwner { database });
                 tables.deadlines.record.set((), tables.now_us);
             }
@@ -55,21 +61,17 @@
     if !tables.is_settled() {
         return Step::Wait(Some(tables.settled_at_us()));
     }
-    let host = tables.config.host;
     let Some(route) = tables.routes.get_mut(&database) else { return Step::Wait(None) };
     if tables.draining || tables.owned.contains_key(&database) {
         return Step::Wait(None);
     }
-    if let Some(owner) = route.owner
-        && owner != host
-        && !tables.hosts.is_suspected(owner)
-    {
-        let Some(denied_since_us) = route.denied_since_us else {
+    if let Some(owner) = route.owner.filter(|&owner| !tables.hosts.is_suspected(owner)) {
+        let denial_ends_us = route.denied_since_us.map(|since_us| since_us + DENIAL_US);
+        if denial_ends_us.is_none() {
             route.unowned_since_us = None;
-            return Step::Wait(None);
-        };
-        if now_us < denied_since_us + DENIAL_US {
-            return Step::Wait(Some(denied_since_us + DENIAL_US));
+        }
+        if owner != tables.config.host && denial_ends_us.is_none_or(|end_us| now_us < end_us) {
+            return Step::Wait(denial_ends_us);
         }
     }
     let since_us = *route.unowned_since_us.get_or_insert(now_us);
@@ -84,7 +86,12 @@
     }
     let claim_at_us = since_us + claim_delay_us(tables, database);
     if now_us >= claim_at_us {
-        return Step::ReadRecord;
+        return Step::Claim;
+    }
+    let route = &tables.routes[&database];
+    let is_unknown = route.owner.is_none() && route.epoch > 0 && !route.is_looked_up;
+    if is_unknown && now_us >= since_us + RECHECK_US {
+        return Step::LookUp;
     }
     Step::Wait(Some(claim_at_us.min(now_us + RECHECK_US)))
 }
@@ -94,7 +101,10 @@
     let host = tables.config.host;
     let route = &tables.routes[&database];
     let order_us = tables.hosts.rank(database.as_u32(), host).min(CLAIM_STEPS) * CLAIM_STEP_US;
-    let loss_us = if route.epoch == 0 { 0 } else { CLAIM_DELAY_US };
+    let loss_us = match route.epoch {
+        0 => 0,
+        _ => CLAIM_DELAY_US << route.losses.min(CLAIM_DELAY_DOUBLINGS),
+    };
     let standby_us = match route.standby {
         Some(standby) if tables.hosts.is_eligible(standby) => STANDBY_DELAY_US,
         _ => 0,
@@ -104,7 +114,7 @@
 
 /// Whether a database whose record has just been read may be claimed.
 pub(crate) fn may_claim(tables: &mut Tables, database: DatabaseId) -> bool {
-    assess(tables, database) == Step::ReadRecord
+    assess(tables, database) == Step::Claim
 }
 
 /// Takes over with the reserved epoch, without the key-value service. The record is written later.
@@ -133,6 +143,11 @@
 /// Gives up what this host holds of a database.
 pub(crate) fn release(tables: &mut Tables, database: DatabaseId) {
     let Some(owned) = tables.owned.remove(&database) else { return };
+    if let Some(route) = tables.routes.get_mut(&database)
+        && route.owner == Some(tables.config.host)
+    {
+        route.owner = None;
+    }
     tables.deadlines.owned.cancel(database);
     for index in owned.indices() {
         tables.deadlines.instance.cancel(crate::InstanceId { database, index });
@@ -149,22 +164,20 @@
 
 /// Notes the owner of an epoch, or that the epoch is in use. Only a higher epoch, or the owner of an
 /// epoch that had none, changes anything. An owner with a lower epoch steps down.
-pub(crate) fn learn(
-    tables: &mut Tables,
-    database: DatabaseId,
-    owner: Option<HostId>,
-    epoch: u32,
-) -> bool {
+pub(crate) fn learn(tables: &mut Tables, database: DatabaseId, owner: Option<HostId>, epoch: u32) {
     // An earlier process of this host is gone.
     let owner = owner.filter(|&owner| owner != tables.config.host);
-    let Some(route) = tables.routes.get(&database) else { return false };
+    let Some(route) = tables.routes.get(&database) else { return };
     let names_owner = epoch == route.epoch && route.owner.is_none() && owner.is_some();
     if epoch <= route.epoch && !names_owner {
-        return false;
+        return;
     }
     set_owner(tables, database, owner, epoch);
     if tables.owned.contains_key(&database) {
         release(tables, database);
+        if let Some(route) = tables.routes.get_mut(&database) {
+            route.losses += 1;
+        }
         tables.counters.step_downs += 1;
         tables.log(StateChange::OwnershipLost { database, epoch });
     }
@@ -174,7 +187,6 @@
         tables.updates.push_back((update, tables.now_us + PASS_ON_US));
     }
     tables.deadlines.route.set(database, tables.now_us);
-    true
 }
 
 /// Notes that the heartbeat of the owner does not list the database.
@@ -191,16 +203,14 @@
     let now_us = tables.now_us;
     let Some(route) = tables.routes.get_mut(&database) else { return };
     let previous = route.owner;
-    let unowned_since_us = owner.is_none().then_some(now_us);
-    let is_record_busy = route.is_record_busy;
-    let (proposed, primary_index) = (route.proposed, route.primary_index);
     *route = Route {
         owner,
         epoch,
-        unowned_since_us,
-        is_record_busy,
-        proposed,
-        primary_index,
+        unowned_since_us: owner.is_none().then_some(now_us),
+        primary_index: route.primary_index,
+        losses: route.losses,
+        is_record_busy: route.is_record_busy,
+        proposed: route.proposed,
         ..Route::new()
     };
     tables.view_changed = true;
--- a/crates/core/src/control/tables/instance_state.rs
+++ b/crates/core/src/control/tables/instance_state.rs
@@ -3,6 +3,9 @@
 use crate::traffic::ProbeFailure;
 use crate::{GroupCallKey, InstanceReport, InstanceRole, Position, Term};
 
+/// Delay before a failed fencing or follow call is repeated.
+const RETRY_US: u64 = 100_000;
+
 /// What an owner knows of a database instance.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceState {
@@ -16,7 +19,7 @@
     pub(crate) failing_since_us: Option<u64>,
     /// Status calls in a row that ended with a refused or broken connection.
     pub(crate) connection_losses: u32,
-    /// Status call in flight.
+    /// Status call in flight that has not been missed yet.
     pub(crate) status_call: Option<GroupCallKey>,
     /// When the last status call was sent.
     pub(crate) status_sent_us: u64,
@@ -39,6 +42,9 @@
 impl InstanceState {
     /// Notes a report of a call that was sent at the given time.
     pub(crate) fn note_report(&mut self, report: InstanceReport, sent_at_us: u64, now_us: u64) {
+        if sent_at_us < self.report_sent_us {
+            return;
+        }
         self.failing_since_us = None;
         self.connection_losses = 0;
         self.primary_heard_at_us = match (report.role, report.primary_heard_ms) {
@@ -62,6 +68,19 @@
         }
     }
 
+    /// Notes the end of a fencing call, with the report if the term was accepted.
+    pub(crate) fn note_fenced(&mut self, accepted: Option<InstanceReport>, now_us: u64) {
+        self.fenced = accepted.map(|report| report.position);
+        self.fence_failed = accepted.is_none();
+        self.retry_at_us = if accepted.is_some() { now_us } else { now_us + RETRY_US };
+    }
+
+    /// Notes the end of a follow call.
+    pub(crate) fn note_following(&mut self, accepted: bool, now_us: u64) {
+        self.following_since_us = accepted.then_some(now_us);
+        self.retry_at_us = if accepted { now_us } else { now_us + RETRY_US };
+    }
+
     /// Forgets what holds for one term only.
     pub(crate) fn forget_term(&mut self, now_us: u64) {
         self.fence_call = None;
--- a/crates/core/src/control/tables/owned.rs
+++ b/crates/core/src/control/tables/owned_database.rs
@@ -1,50 +1,7 @@
 //! Databases that this host owns.
 
-use super::InstanceState;
-use crate::{HostId, Term};
-
-/// Progress of the takeover or promotion of a database.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Phase {
-    /// Waits until a majority of instances has accepted the term.
-    Fencing {
-        /// Since when no fencing has succeeded.
-        since_us: u64,
-        /// When a majority had accepted the term.
-        majority_at_us: Option<u64>,
-    },
-    /// Waits for the answer of the promotion call.
-    Promoting { index: u8 },
-    /// The promotion call's answer was lost; status calls sent since then tell what came of it.
-    Resolving { index: u8, since_us: u64 },
-    /// Open for work.
-    Open { primary: u8 },
-}
-
-/// A planned change under which a database admits no new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Transfer {
-    /// The primary moves to a wanted instance.
-    Promotion {
-        wanted: u8,
-        /// When the change goes on or is given up.
-        limit_us: u64,
-        /// When the traffic threads had nothing running any more.
-        quiescent_at_us: Option<u64>,
-    },
-    /// The database goes to its standby.
-    Handover { limit_us: u64, quiescent: bool, next_offer_us: u64 },
-}
-
-/// Standby that the written ownership record names.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Standby {
-    pub(crate) host: HostId,
-    pub(crate) epoch: u32,
-    /// Incarnation of the standby's process when it was named. A restarted process has forgotten
-    /// whether it used the reserved epoch, so it is not the standby any more.
-    pub(crate) incarnation: u64,
-}
+use super::{InstanceState, Phase, Standby, Transfer};
+use crate::Term;
 
 /// A database that this host owns.
 #[derive(Debug)]
@@ -52,6 +9,8 @@
     pub(crate) epoch: u32,
     pub(crate) term: Term,
     pub(crate) phase: Phase,
+    /// Reports of calls sent before concern another set of instances.
+    pub(crate) monitored_since_us: u64,
     /// Whether the ownership record shows this ownership.
     pub(crate) record_written: bool,
     pub(crate) standby: Option<Standby>,
@@ -83,6 +42,7 @@
             epoch,
             term: Term::first_of_epoch(epoch),
             phase: Phase::Fencing { since_us: now_us, majority_at_us: None },
+            monitored_since_us: now_us,
             record_written: false,
             standby: None,
             replace_standby_at_us: None,
@@ -149,6 +109,7 @@
     pub(crate) fn replace_instances(&mut self, count: usize, now_us: u64) {
         self.begin_next_term(self.term, now_us);
         self.instances = (0..count).map(|_| InstanceState::default()).collect();
+        self.monitored_since_us = now_us;
         self.last_primary = None;
         self.excluded = None;
         self.wanted = None;
