Encode messages between proxies in frames and datagrams

Proxies need bounded framing over TCP and checked heartbeats over UDP. Heartbeats state their length.

--- /dev/null
+++ b/crates/peer/src/datagram.rs
@@ -0,0 +1,50 @@
+//! Heartbeat datagrams: a 2-byte protocol version, a 2-byte body length and a `postcard` body.
+
+use bytes::{BufMut, BytesMut};
+use flamingorock_core::message::Heartbeat;
+
+use crate::flavor::BoundedAppend;
+use crate::{DecodeError, EncodeError, PROTOCOL_VERSION};
+
+const HEADER_BYTES: usize = 4;
+
+/// Greatest size of a datagram: the limit of UDP over IPv4.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
+
+/// Replaces the contents of a buffer by the datagram of a heartbeat.
+pub fn encode_heartbeat(heartbeat: &Heartbeat, out: &mut BytesMut) -> Result<(), EncodeError> {
+    out.clear();
+    out.put_u16(PROTOCOL_VERSION);
+    out.put_u16(0);
+    let sink = BoundedAppend::new(out, MAX_DATAGRAM_BYTES - HEADER_BYTES);
+    if let Err(error) = postcard::serialize_with_flavor(heartbeat, sink) {
+        out.clear();
+        return Err(EncodeError::new(error, MAX_DATAGRAM_BYTES));
+    }
+    let length = u16::try_from(out.len() - HEADER_BYTES).expect("bounded by the datagram size");
+    out[2..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(())
+}
+
+/// Decodes the datagram of a heartbeat.
+pub fn decode_heartbeat(datagram: &[u8]) -> Result<Heartbeat, DecodeError> {
+    let Some((header, body)) = datagram.split_first_chunk::<HEADER_BYTES>() else {
+        return Err(DecodeError::DatagramLength {
+            stated_bytes: HEADER_BYTES,
+            found_bytes: datagram.len(),
+        });
+    };
+    let version = u16::from_be_bytes([header[0], header[1]]);
+    if version != PROTOCOL_VERSION {
+        return Err(DecodeError::Version { version });
+    }
+    let stated_bytes = usize::from(u16::from_be_bytes([header[2], header[3]]));
+    if stated_bytes != body.len() {
+        return Err(DecodeError::DatagramLength { stated_bytes, found_bytes: body.len() });
+    }
+    let (heartbeat, rest) = postcard::take_from_bytes(body).map_err(DecodeError::Datagram)?;
+    match rest.len() {
+        0 => Ok(heartbeat),
+        count => Err(DecodeError::TrailingBytes { count }),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/frame_decoder.rs
@@ -0,0 +1,91 @@
+//! Decoder of the frames of one link.
+
+use bytes::{Buf, BytesMut};
+use serde::Deserialize;
+
+use crate::{DecodeError, Frame, FrameTag, Hello, LinkPurpose, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+
+const LENGTH_BYTES: usize = 4;
+
+/// Decoder of the frames of one link. After an error the link must be closed, because the frame
+/// boundaries are lost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FrameDecoder {
+    hello: Option<Hello>,
+}
+
+impl FrameDecoder {
+    /// Creates the decoder of a new link.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The first frame of the link, once it has arrived.
+    #[must_use]
+    pub fn hello(&self) -> Option<Hello> {
+        self.hello
+    }
+
+    /// Takes the next whole frame off the front of a read buffer; `None` if it is incomplete.
+    pub fn next_frame(&mut self, input: &mut BytesMut) -> Result<Option<Frame>, DecodeError> {
+        let Some(prefix) = input.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length_bytes = u32::from_be_bytes(*prefix) as usize;
+        if length_bytes > MAX_FRAME_BYTES {
+            return Err(DecodeError::TooLong { length_bytes });
+        }
+        // A link that has not introduced itself may not make the receiver buffer a large frame.
+        if self.hello.is_none() && length_bytes > MAX_HELLO_BYTES {
+            return Err(DecodeError::TooLong { length_bytes });
+        }
+        let frame_end = LENGTH_BYTES + length_bytes;
+        if input.len() < frame_end {
+            return Ok(None);
+        }
+        let frame = self.decode(&input[LENGTH_BYTES..frame_end])?;
+        input.advance(frame_end);
+        Ok(Some(frame))
+    }
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Frame, DecodeError> {
+        let (&byte, body) = bytes.split_first().ok_or(DecodeError::Empty)?;
+        let tag = FrameTag::from_byte(byte).ok_or(DecodeError::UnknownTag { tag: byte })?;
+        match (self.hello.map(|hello| hello.purpose), tag) {
+            (None, FrameTag::Hello) => self.decode_hello(body),
+            (Some(LinkPurpose::Traffic { .. }), FrameTag::Traffic) => {
+                decode_body(tag, body).map(Frame::Traffic)
+            }
+            (Some(LinkPurpose::Traffic { .. }), FrameTag::CallerCancel) => {
+                decode_body(tag, body).map(Frame::CallerCancel)
+            }
+            (Some(LinkPurpose::Control), FrameTag::Control) => {
+                decode_body(tag, body).map(Frame::Control)
+            }
+            _ => Err(DecodeError::UnexpectedFrame(tag)),
+        }
+    }
+
+    /// Checks the version before the rest, whose form may differ in another version.
+    fn decode_hello(&mut self, body: &[u8]) -> Result<Frame, DecodeError> {
+        let (version, _) = postcard::take_from_bytes::<u16>(body)
+            .map_err(|reason| DecodeError::Body { tag: FrameTag::Hello, reason })?;
+        if version != PROTOCOL_VERSION {
+            return Err(DecodeError::Version { version });
+        }
+        let hello: Hello = decode_body(FrameTag::Hello, body)?;
+        self.hello = Some(hello);
+        Ok(Frame::Hello(hello))
+    }
+}
+
+/// Greatest length of a first frame of any version.
+const MAX_HELLO_BYTES: usize = 256;
+
+fn decode_body<'a, M: Deserialize<'a>>(tag: FrameTag, body: &'a [u8]) -> Result<M, DecodeError> {
+    let (message, rest) =
+        postcard::take_from_bytes(body).map_err(|reason| DecodeError::Body { tag, reason })?;
+    match rest.len() {
+        0 => Ok(message),
+        count => Err(DecodeError::TrailingBytes { count }),
+    }
+}
