--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,19 @@
+//! Control thread: heartbeats, control messages, monitor connections and the calls to the platform.
+
+mod drain;
+mod heartbeat_socket;
+mod parts;
+mod perform;
+mod signals;
+mod store_pool;
+mod take_mail;
+mod thread;
+mod view_publisher;
+
+pub use drain::{Drain, Exit};
+pub use heartbeat_socket::HeartbeatSocket;
+pub use parts::ControlParts;
+pub use signals::Signals;
+pub use store_pool::{StoreJob, StorePool};
+pub use thread::ControlThread;
+pub use view_publisher::ViewPublisher;
--- /dev/null
+++ b/crates/daemon/src/control/thread.rs
@@ -0,0 +1,223 @@
+//! Loop of the control thread.
+
+use std::sync::Arc;
+
+use flamingorock_core::configuration::Configuration;
+use flamingorock_core::control::{Action, Control, Event};
+use flamingorock_core::{GroupCallKey, View};
+use flamingorock_frontend::FunctionGroupProtocol;
+use flamingorock_peer::{Hello, LinkPurpose};
+use mio::{Interest, Token};
+
+use super::{ControlParts, Drain, Exit, HeartbeatSocket, Signals, StorePool, ViewPublisher};
+use crate::driven::Driven;
+use crate::error::DaemonError;
+use crate::io_context::IoContext;
+use crate::links::OutgoingLinks;
+use crate::mail::ControlMail;
+use crate::monitors::Monitors;
+use crate::net::{SocketTable, bind_udp};
+use crate::poller::Poller;
+
+pub(super) const SIGNALS: Token = Token(1);
+pub(super) const HEARTBEATS: Token = Token(2);
+
+/// Delay before a view is offered again to a traffic thread whose mailbox was full.
+const RETRY_US: u64 = 10_000;
+
+/// Messages taken from the mailbox in one wake-up.
+const MAIL_BUDGET: usize = 1024;
+
+/// The control thread: its machine and its sockets.
+pub struct ControlThread {
+    pub(super) poller: Poller<ControlMail>,
+    pub(super) io: IoContext,
+    pub(super) machine: Driven<Control>,
+    pub(super) signals: Signals,
+    pub(super) heartbeats: HeartbeatSocket,
+    pub(super) links: OutgoingLinks<()>,
+    pub(super) monitors: Monitors<GroupCallKey, FunctionGroupProtocol>,
+    pub(super) store: StorePool,
+    pub(super) publisher: ViewPublisher,
+    pub(super) drain: Drain,
+    /// The newest configuration that was parsed; gives the addresses of instances and the names of
+    /// databases.
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) view: Arc<View>,
+    pub(super) exit: Option<Exit>,
+    /// Whether the mailbox may hold more than was taken in the last wake-up.
+    mail_left: bool,
+    retry_us: Option<u64>,
+    ready: Vec<Token>,
+}
+
+impl ControlThread {
+    /// Opens the sockets of the thread.
+    ///
+    /// # Errors
+    ///
+    /// An address is in use, or the system is out of file descriptors.
+    pub fn new(poller: Poller<ControlMail>, parts: ControlParts) -> Result<Self, DaemonError> {
+        let starting = || DaemonError::starting("the control thread");
+        let settings = &parts.settings;
+        let address = settings.listen.peers;
+        let socket = bind_udp(address)
+            .map_err(|error| DaemonError::Listen { purpose: "heartbeats", address, error })?;
+        let mut heartbeats = HeartbeatSocket::new(socket, settings.peers.clone());
+        let mut signals = Signals::install().map_err(starting())?;
+        let registry = poller.registry().map_err(starting())?;
+        let readable = Interest::READABLE;
+        registry.register(signals.receiver_mut(), SIGNALS, readable).map_err(starting())?;
+        registry.register(heartbeats.socket_mut(), HEARTBEATS, readable).map_err(starting())?;
+        let hello = Hello::new(settings.host.id, LinkPurpose::Control);
+        let drain_limit_us = u64::from(settings.drain.deadline_ms) * 1000;
+        Ok(Self {
+            poller,
+            io: IoContext::new(registry, parts.clock, Arc::clone(&parts.metrics)),
+            machine: Driven::new(parts.machine),
+            signals,
+            heartbeats,
+            links: OutgoingLinks::new(hello, settings.peers.clone()),
+            monitors: Monitors::new(FunctionGroupProtocol),
+            store: parts.store,
+            publisher: ViewPublisher::new(parts.traffic),
+            drain: Drain::new(drain_limit_us, settings.traffic.threads),
+            configuration: Arc::default(),
+            view: Arc::default(),
+            exit: None,
+            mail_left: false,
+            retry_us: None,
+            ready: Vec::new(),
+        })
+    }
+
+    /// Runs until the process is to end.
+    pub fn run(mut self) -> Exit {
+        loop {
+            self.wait();
+            self.take_events();
+            self.take_mail();
+            self.expire();
+            self.machine.tick(self.io.now_us);
+            self.io.metrics.control_ticks.inc();
+            self.carry_out();
+            self.flush();
+            if let Some(exit) = self.exit.or_else(|| self.drain.exit(self.io.now_us)) {
+                return exit;
+            }
+        }
+    }
+
+    /// Blocks until something is to be done.
+    fn wait(&mut self) {
+        let busy = self.mail_left || !self.io.unfinished.is_empty();
+        let deadlines = [
+            busy.then_some(0),
+            self.machine.next_deadline_us(),
+            self.io.deadlines.next_us(),
+            self.drain.deadline_us(),
+            self.retry_us,
+        ];
+        let deadline_us = deadlines.into_iter().flatten().min();
+        self.poller.wait(self.io.clock, deadline_us, &mut self.ready);
+        self.io.now_us = self.io.clock.now_us();
+    }
+
+    fn take_events(&mut self) {
+        let mut ready = core::mem::take(&mut self.ready);
+        ready.extend(self.io.unfinished.drain(..));
+        for &token in &ready {
+            match token {
+                SIGNALS => self.take_signals(),
+                HEARTBEATS => self.take_heartbeats(),
+                _ => self.take_socket(token),
+            }
+        }
+        self.ready = ready;
+    }
+
+    fn take_socket(&mut self, token: Token) {
+        match SocketTable::of(token) {
+            Some(SocketTable::Monitors) => {
+                let machine = &mut self.machine;
+                self.monitors.ready(&mut self.io, token, |call, result| {
+                    machine.push(Event::GroupAnswered { call, result });
+                });
+            }
+            // Control messages are repeated by their senders, so a lost link needs no report.
+            Some(SocketTable::OutgoingLinks) => drop(self.links.ready(&mut self.io, token)),
+            _ => {}
+        }
+    }
+
+    fn take_signals(&mut self) {
+        for _ in 0..self.signals.take() {
+            if self.request_drain() {
+                tracing::info!("shutdown requested by a signal");
+            } else {
+                self.exit = Some(Exit::SecondSignal);
+            }
+        }
+    }
+
+    /// Starts the shutdown. Returns `false` if it had been started before.
+    pub(super) fn request_drain(&mut self) -> bool {
+        let first = self.drain.request(self.io.now_us);
+        if first {
+            self.machine.push(Event::DrainRequested);
+        }
+        first
+    }
+
+    fn take_heartbeats(&mut self) {
+        let machine = &mut self.machine;
+        let more = self.heartbeats.receive(&self.io.metrics, |heartbeat| {
+            machine.push(Event::HeartbeatReceived(heartbeat));
+        });
+        if more {
+            self.io.unfinished.push_back(HEARTBEATS);
+        }
+    }
+
+    fn take_mail(&mut self) {
+        for _ in 0..MAIL_BUDGET {
+            let Some(mail) = self.poller.take_mail() else {
+                self.mail_left = false;
+                return;
+            };
+            self.take_one(mail);
+        }
+        self.mail_left = true;
+    }
+
+    fn expire(&mut self) {
+        while let Some(token) = self.io.deadlines.pop_due(self.io.now_us) {
+            match SocketTable::of(token) {
+                Some(SocketTable::Monitors) => {
+                    let machine = &mut self.machine;
+                    self.monitors.expire(&mut self.io, token, |call, result| {
+                        machine.push(Event::GroupAnswered { call, result });
+                    });
+                }
+                Some(SocketTable::OutgoingLinks) => drop(self.links.expire(&mut self.io, token)),
+                _ => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let actions: Vec<Action> = self.machine.machine_mut().drain_actions().collect();
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn flush(&mut self) {
+        let dirty = core::mem::take(&mut self.io.dirty);
+        for token in dirty {
+            self.take_socket(token);
+        }
+        let all_sent = self.publisher.flush();
+        self.retry_us = (!all_sent).then_some(self.io.now_us + RETRY_US);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links.rs
@@ -0,0 +1,10 @@
+//! TCP links between proxies. A link carries messages in one direction only: each thread opens its
+//! own link to each host that it sends to.
+
+mod incoming_links;
+mod link_loss;
+mod outgoing_links;
+
+pub use incoming_links::{IncomingLinks, LinkEnd};
+pub use link_loss::LinkLoss;
+pub use outgoing_links::{NotSent, OutgoingLinks};
--- /dev/null
+++ b/crates/daemon/src/links/incoming_links.rs
@@ -0,0 +1,182 @@
+//! Links that other proxies opened.
+
+use std::collections::BTreeSet;
+
+use bytes::BytesMut;
+use flamingorock_core::HostId;
+use flamingorock_core::arena::Arena;
+use flamingorock_peer::{Frame, FrameDecoder, LinkPurpose};
+use mio::Token;
+use mio::net::{TcpListener, TcpStream};
+
+use crate::io_context::IoContext;
+use crate::net::{
+    IncomingLinkKey, PEER_SILENCE, READ_BUDGET_BYTES, ReadOutcome, Stream, set_stream_options,
+};
+
+/// Time until a link's first frame must have arrived.
+const HELLO_LIMIT_US: u64 = 10_000_000;
+
+/// Links that have not introduced themselves. Bounds what strangers can occupy.
+const LINKS_LIMIT: usize = 4096;
+
+#[derive(Debug)]
+struct IncomingLink {
+    stream: Stream,
+    input: BytesMut,
+    decoder: FrameDecoder,
+}
+
+/// A link that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LinkEnd {
+    /// Host at the other end.
+    pub host: HostId,
+    /// Threads that the link connected.
+    pub purpose: LinkPurpose,
+}
+
+/// Links that other proxies opened to one traffic thread.
+#[derive(Debug)]
+pub struct IncomingLinks {
+    hosts: BTreeSet<HostId>,
+    links: Arena<IncomingLinkKey, IncomingLink>,
+}
+
+impl IncomingLinks {
+    /// Creates the table. Links from other hosts than `hosts` are closed.
+    #[must_use]
+    pub fn new(hosts: BTreeSet<HostId>) -> Self {
+        Self { hosts, links: Arena::new() }
+    }
+
+    /// Accepts the links that wait at a listener.
+    pub fn accept(&mut self, io: &mut IoContext, listener: &TcpListener) {
+        while let Ok((tcp, _)) = listener.accept() {
+            if self.links.len() < LINKS_LIMIT {
+                // A connection that breaks at once costs only itself.
+                let _ = self.add(io, tcp);
+            }
+        }
+    }
+
+    fn add(&mut self, io: &mut IoContext, tcp: TcpStream) -> std::io::Result<()> {
+        set_stream_options(&tcp, PEER_SILENCE)?;
+        let deadline_us = io.now_us + HELLO_LIMIT_US;
+        let stream = Stream::new(tcp, 0);
+        let link = IncomingLink { stream, input: BytesMut::new(), decoder: FrameDecoder::new() };
+        let key = self.links.insert(link);
+        let link = self.links.get_mut(key).expect("just inserted");
+        if let Err(error) = io.register(&mut link.stream.tcp, key.into()) {
+            self.links.remove(key);
+            return Err(error);
+        }
+        io.deadlines.add(deadline_us, key.into());
+        Ok(())
+    }
+
+    /// Reads a link and hands its frames over. Returns the link's end if it ended.
+    pub fn ready(
+        &mut self,
+        io: &mut IoContext,
+        token: Token,
+        mut deliver: impl FnMut(HostId, Frame),
+    ) -> Option<LinkEnd> {
+        let key = IncomingLinkKey::from(token);
+        let link = self.links.get_mut(key)?;
+        match link.advance(io, &self.hosts, &mut deliver) {
+            Next::Wait => None,
+            Next::ReadAgain => {
+                io.unfinished.push_back(token);
+                None
+            }
+            Next::Close => self.close(io, key),
+        }
+    }
+
+    /// Closes a link whose first frame has not arrived in time.
+    pub fn expire(&mut self, io: &mut IoContext, token: Token) {
+        let key = IncomingLinkKey::from(token);
+        let silent = self.links.get(key).is_some_and(|link| link.decoder.hello().is_none());
+        if silent {
+            self.close(io, key);
+        }
+    }
+
+    fn close(&mut self, io: &mut IoContext, key: IncomingLinkKey) -> Option<LinkEnd> {
+        let mut link = self.links.remove(key)?;
+        // The socket is closed right after; a failure to deregister it changes nothing.
+        let _ = io.registry.deregister(&mut link.stream.tcp);
+        let hello = link.decoder.hello()?;
+        Some(LinkEnd { host: hello.host, purpose: hello.purpose })
+    }
+}
+
+enum Next {
+    Wait,
+    ReadAgain,
+    Close,
+}
+
+impl IncomingLink {
+    fn advance(
+        &mut self,
+        io: &mut IoContext,
+        hosts: &BTreeSet<HostId>,
+        deliver: &mut impl FnMut(HostId, Frame),
+    ) -> Next {
+        let mut total_bytes = 0;
+        while total_bytes < READ_BUDGET_BYTES {
+            match self.stream.read(&mut io.scratch, usize::MAX) {
+                ReadOutcome::Data(bytes) => {
+                    total_bytes += bytes.len();
+                    self.input.extend_from_slice(bytes);
+                    io.metrics.link_received_bytes.inc_by(bytes.len() as u64);
+                }
+                ReadOutcome::Drained => return Next::Wait,
+                ReadOutcome::Closed => return Next::Close,
+            }
+            if self.decode(io, hosts, deliver).is_err() {
+                return Next::Close;
+            }
+        }
+        Next::ReadAgain
+    }
+
+    fn decode(
+        &mut self,
+        io: &IoContext,
+        hosts: &BTreeSet<HostId>,
+        deliver: &mut impl FnMut(HostId, Frame),
+    ) -> Result<(), Unusable> {
+        loop {
+            match self.decoder.next_frame(&mut self.input) {
+                Ok(None) => break,
+                Ok(Some(Frame::Hello(hello))) if hosts.contains(&hello.host) => {}
+                Ok(Some(Frame::Hello(hello))) => {
+                    let host = hello.host;
+                    tracing::warn!(%host, "link from a host that is not in the settings");
+                    return Err(Unusable);
+                }
+                Ok(Some(frame)) => {
+                    io.metrics.link_frames_received.inc();
+                    let hello = self.decoder.hello().expect("the first frame has been decoded");
+                    deliver(hello.host, frame);
+                }
+                Err(error) => {
+                    io.metrics.link_frames_malformed.inc();
+                    tracing::debug!(%error, "link closed because of a malformed frame");
+                    return Err(Unusable);
+                }
+            }
+        }
+        // An idle link keeps no memory.
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        Ok(())
+    }
+}
+
+/// The link delivered something that ends it.
+struct Unusable;
--- /dev/null
+++ b/crates/daemon/src/poller.rs
@@ -0,0 +1,70 @@
+//! Waiting for events.
+
+use std::io::{self, ErrorKind};
+
+use crossbeam::channel::Receiver;
+use mio::{Events, Poll, Registry, Token};
+
+use crate::clock::Clock;
+use crate::mailbox::{MailSender, mailbox};
+
+/// Token of the mailbox.
+pub const MAILBOX: Token = Token(0);
+
+const EVENTS_PER_WAKE_UP: usize = 1024;
+
+/// The poll of a thread with its mailbox. It is created before the threads start, so that each can
+/// be given the mailboxes of the others.
+#[derive(Debug)]
+pub struct Poller<T> {
+    poll: Poll,
+    events: Events,
+    sender: MailSender<T>,
+    receiver: Receiver<T>,
+}
+
+impl<T> Poller<T> {
+    /// Creates a poll and a mailbox that holds `capacity` messages.
+    ///
+    /// # Errors
+    ///
+    /// The system is out of file descriptors.
+    pub fn new(capacity: usize) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let (sender, receiver) = mailbox(capacity, poll.registry(), MAILBOX)?;
+        Ok(Self { poll, events: Events::with_capacity(EVENTS_PER_WAKE_UP), sender, receiver })
+    }
+
+    /// Sending side of the mailbox.
+    #[must_use]
+    pub fn sender(&self) -> MailSender<T> {
+        self.sender.clone()
+    }
+
+    /// A registry for the thread's sockets.
+    ///
+    /// # Errors
+    ///
+    /// The system is out of file descriptors.
+    pub fn registry(&self) -> io::Result<Registry> {
+        self.poll.registry().try_clone()
+    }
+
+    /// Waits for events, at most until a deadline if there is one, and returns the tokens of what is
+    /// ready.
+    pub fn wait(&mut self, clock: Clock, deadline_us: Option<u64>, ready: &mut Vec<Token>) {
+        ready.clear();
+        let timeout = deadline_us.map(|deadline_us| clock.until(deadline_us));
+        match self.poll.poll(&mut self.events, timeout) {
+            Ok(()) => ready.extend(self.events.iter().map(|event| event.token())),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => panic!("the poll of this thread is unusable: {error}"),
+        }
+    }
+
+    /// Takes a message that waits in the mailbox.
+    #[must_use]
+    pub fn take_mail(&self) -> Option<T> {
+        self.receiver.try_recv().ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,160 @@
+//! Start and end of the process.
+
+use std::io;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use flamingorock_config::Settings;
+use flamingorock_core::control::{Control, ControlConfig};
+use flamingorock_core::traffic::TrafficConfig;
+use flamingorock_platform::{ConsulHostList, ConsulStore, Keys};
+
+use crate::admin::AdminServer;
+use crate::clock::Clock;
+use crate::control::{ControlParts, ControlThread, Exit, StorePool};
+use crate::error::DaemonError;
+use crate::logging;
+use crate::mail::{ControlMail, TrafficMail};
+use crate::mailbox::MailSender;
+use crate::metrics::Metrics;
+use crate::poller::Poller;
+use crate::thread_guard::ThreadGuard;
+use crate::traffic::{TrafficParts, TrafficThread};
+
+/// Messages that a thread's mailbox holds.
+const MAILBOX_CAPACITY: usize = 16_384;
+
+/// Runs a proxy until it is told to end. The control thread is the calling thread.
+///
+/// # Errors
+///
+/// The process could not start, or one of its threads ended unexpectedly.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    logging::start(&settings.log);
+    let settings = Arc::new(settings);
+    let metrics = Arc::new(Metrics::default());
+    let clock = Clock::start();
+    let control = poller::<ControlMail>()?;
+    let pollers = (0..settings.traffic.threads).map(|_| poller()).collect::<Result<Vec<_>, _>>()?;
+    let mailboxes: Vec<_> = pollers.iter().map(Poller::sender).collect();
+    let parts = TrafficParts {
+        config: TrafficConfig::new(settings.host.id, &settings.host.data_centre),
+        settings: Arc::clone(&settings),
+        clock,
+        metrics: Arc::clone(&metrics),
+        threads: mailboxes.clone(),
+        control: control.sender(),
+    };
+    let traffic = traffic_threads(pollers, &parts)?;
+    let admin = admin_server(&parts)?;
+    let store = store_pool(&parts)?;
+    let machine = Control::new(control_config(&settings));
+    let traffic_mailboxes = mailboxes.clone();
+    let control_parts =
+        ControlParts { settings, machine, clock, metrics, traffic: traffic_mailboxes, store };
+    let control = ControlThread::new(control, control_parts)?;
+    let handles = start_threads(traffic, admin, &parts.control)?;
+    tracing::info!(host = %parts.settings.host.id, "started");
+    let exit = control.run();
+    stop(&mailboxes, handles);
+    end(exit)
+}
+
+fn poller<T>() -> Result<Poller<T>, DaemonError> {
+    Poller::new(MAILBOX_CAPACITY).map_err(DaemonError::starting("a thread"))
+}
+
+fn traffic_threads(
+    pollers: Vec<Poller<TrafficMail>>,
+    parts: &TrafficParts,
+) -> Result<Vec<TrafficThread>, DaemonError> {
+    let count = parts.settings.traffic.threads;
+    let with_index = (0..count).zip(pollers);
+    with_index
+        .map(|(thread, poller)| {
+            let mut parts = parts.clone();
+            parts.config = parts.config.thread(thread, count);
+            TrafficThread::new(poller, parts)
+        })
+        .collect()
+}
+
+fn admin_server(parts: &TrafficParts) -> Result<AdminServer, DaemonError> {
+    AdminServer::bind(
+        parts.settings.listen.admin,
+        parts.settings.admin.key.clone(),
+        Arc::clone(&parts.metrics),
+        parts.control.clone(),
+        parts.threads.clone(),
+    )
+}
+
+fn store_pool(parts: &TrafficParts) -> Result<StorePool, DaemonError> {
+    let store = ConsulStore::new(&parts.settings.store.url.to_string());
+    let keys = Keys::new(&parts.settings.store.prefix);
+    let host_list = ConsulHostList::new(&parts.settings.host_list.url.to_string());
+    StorePool::start(&store, &keys, host_list, &parts.control, Arc::clone(&parts.metrics))
+}
+
+/// The incarnation and the seed come from the time of day, so that each start of a host differs from
+/// the one before and hosts differ from each other.
+fn control_config(settings: &Settings) -> ControlConfig {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+    let host = settings.host.id;
+    ControlConfig::new(host)
+        .peers(settings.peers.keys().copied().collect())
+        .incarnation(incarnation)
+        .seed(incarnation ^ u64::from(host.0) << 48)
+}
+
+fn start_threads(
+    traffic: Vec<TrafficThread>,
+    admin: AdminServer,
+    control: &MailSender<ControlMail>,
+) -> Result<Vec<JoinHandle<()>>, DaemonError> {
+    let mut handles = Vec::new();
+    for (index, thread) in traffic.into_iter().enumerate() {
+        let guard = ThreadGuard::new("a traffic thread", control.clone());
+        handles.push(spawn(format!("traffic-{index}"), move || {
+            thread.run();
+            drop(guard);
+        })?);
+    }
+    let guard = ThreadGuard::new("the admin thread", control.clone());
+    // It ends with the process: nothing is lost with a metrics request that is cut off.
+    drop(spawn("admin".to_owned(), move || {
+        admin.run();
+        drop(guard);
+    })?);
+    Ok(handles)
+}
+
+fn spawn(
+    name: String,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, DaemonError> {
+    let spawned: io::Result<_> = thread::Builder::new().name(name).spawn(body);
+    spawned.map_err(DaemonError::starting("a thread"))
+}
+
+fn stop(mailboxes: &[MailSender<TrafficMail>], handles: Vec<JoinHandle<()>>) {
+    for mailbox in mailboxes {
+        mailbox.send(TrafficMail::Stop);
+    }
+    for handle in handles {
+        // A thread that panicked has been reported by its guard.
+        let _ = handle.join();
+    }
+}
+
+fn end(exit: Exit) -> Result<(), DaemonError> {
+    match exit {
+        Exit::Drained => tracing::info!("shut down: everything was handed over"),
+        Exit::DrainDeadline => tracing::warn!("shut down: the drain deadline passed"),
+        Exit::SecondSignal => tracing::warn!("shut down at once: second signal"),
+        Exit::ThreadEnded(thread) => return Err(DaemonError::ThreadEnded { thread }),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/traffic.rs
@@ -0,0 +1,38 @@
+//! Traffic threads: the sockets of callers, backend servers and other proxies.
+
+mod backends;
+mod callers;
+mod cancel_keys;
+mod cancels;
+mod parts;
+mod perform;
+mod router;
+mod statistics;
+mod take_socket;
+mod thread;
+
+use flamingorock_core::InstanceId;
+use flamingorock_core::traffic::{Event, ProbeFailure, Traffic};
+
+use crate::driven::Driven;
+use crate::monitors::CallResult;
+
+pub use backends::Backends;
+pub use callers::Callers;
+pub use cancel_keys::CancelKeys;
+pub use cancels::Cancels;
+pub use parts::TrafficParts;
+pub use router::Router;
+pub use statistics::Statistics;
+pub use thread::TrafficThread;
+
+/// Instance and number of a probe.
+type ProbeTag = (InstanceId, u64);
+
+/// Result of a probe of an instance that a new configuration has removed.
+const NOT_CONFIGURED: ProbeFailure = ProbeFailure::ConnectionLost;
+
+fn push_probed(machine: &mut Driven<Traffic>, tag: ProbeTag, result: CallResult) {
+    let (instance, probe_number) = tag;
+    machine.push(Event::Probed { instance, probe_number, result });
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/backends/backend.rs
@@ -0,0 +1,133 @@
+//! A connection to a backend server.
+
+use std::net::SocketAddr;
+
+use flamingorock_core::traffic::ConnectionLoss;
+use flamingorock_core::{ConnectionKey, WorkKey};
+use flamingorock_frontend::{BackendCodec, BackendError, BackendEvent};
+use mio::Token;
+
+use crate::io_context::IoContext;
+use crate::net::{READ_BUDGET_BYTES, ReadOutcome, Stream, connect, is_connected};
+
+/// Time to open a connection, greeting included.
+const OPEN_LIMIT_US: u64 = 1_000_000;
+
+/// Time to reset a connection. A backend server that needs longer is better given a new connection.
+const RESET_LIMIT_US: u64 = 5_000_000;
+
+/// User of all connections to backend servers.
+const USER: &str = "flamingorock";
+
+/// A connection to a backend server.
+#[derive(Debug)]
+pub(super) struct Backend {
+    pub(super) connection: ConnectionKey,
+    pub(super) address: SocketAddr,
+    pub(super) stream: Stream,
+    pub(super) codec: BackendCodec,
+    /// The request that runs.
+    pub(super) work: Option<WorkKey>,
+    pub(super) deadline_us: Option<u64>,
+    connected: bool,
+    opened: bool,
+}
+
+/// The connection is of no further use.
+pub(super) struct Lost(pub(super) ConnectionLoss);
+
+impl Backend {
+    pub(super) fn connect(
+        io: &IoContext,
+        connection: ConnectionKey,
+        address: SocketAddr,
+        database: &str,
+    ) -> std::io::Result<Self> {
+        let tcp = connect(address)?;
+        let (codec, startup) = BackendCodec::connect(USER, database);
+        // The output is bounded by the size of one request, since one runs at a time.
+        let mut stream = Stream::new(tcp, usize::MAX);
+        stream.output.push(startup);
+        Ok(Self {
+            connection,
+            address,
+            stream,
+            codec,
+            work: None,
+            deadline_us: Some(io.now_us + OPEN_LIMIT_US),
+            connected: false,
+            opened: false,
+        })
+    }
+
+    pub(super) fn start_reset_deadline(&mut self, now_us: u64) {
+        self.deadline_us = Some(now_us + RESET_LIMIT_US);
+    }
+
+    /// Writes what waits and reads what has arrived.
+    pub(super) fn advance(
+        &mut self,
+        io: &mut IoContext,
+        token: Token,
+        mut report: impl FnMut(BackendEvent),
+    ) -> Result<(), Lost> {
+        self.flush(io)?;
+        if !self.connected {
+            return Ok(());
+        }
+        let mut total_bytes = 0;
+        while total_bytes < READ_BUDGET_BYTES {
+            match self.stream.read(&mut io.scratch, usize::MAX) {
+                ReadOutcome::Data(bytes) => {
+                    total_bytes += bytes.len();
+                    io.metrics.backend_received_bytes.inc_by(bytes.len() as u64);
+                    self.codec.receive(bytes);
+                }
+                ReadOutcome::Drained => return Ok(()),
+                ReadOutcome::Closed => return Err(Lost(self.loss())),
+            }
+            self.take_events(&mut report)?;
+        }
+        io.unfinished.push_back(token);
+        Ok(())
+    }
+
+    fn take_events(&mut self, report: &mut impl FnMut(BackendEvent)) -> Result<(), Lost> {
+        loop {
+            match self.codec.next_event() {
+                Ok(Some(event)) => {
+                    self.opened = true;
+                    if event == BackendEvent::Opened || event == BackendEvent::Reset {
+                        self.deadline_us = None;
+                    }
+                    report(event);
+                }
+                Ok(None) => return Ok(()),
+                Err(BackendError::AnswerTooLarge { .. }) => {
+                    return Err(Lost(ConnectionLoss::AnswerTooLarge));
+                }
+                Err(error) => {
+                    tracing::debug!(address = %self.address, %error, "backend server connection closed");
+                    return Err(Lost(self.loss()));
+                }
+            }
+        }
+    }
+
+    /// Writes what waits, once the connection is established.
+    pub(super) fn flush(&mut self, io: &IoContext) -> Result<(), Lost> {
+        if !self.connected {
+            self.connected = is_connected(&self.stream.tcp).map_err(|_| Lost(self.loss()))?;
+        }
+        if self.connected {
+            let written_bytes = self.stream.flush().map_err(|_| Lost(self.loss()))?;
+            io.metrics.backend_sent_bytes.inc_by(written_bytes);
+        }
+        Ok(())
+    }
+
+    /// What the loss of the connection means at this point.
+    pub(super) fn loss(&self) -> ConnectionLoss {
+        if self.opened { ConnectionLoss::Broken } else { ConnectionLoss::ConnectFailed }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/callers/answers.rs
@@ -0,0 +1,101 @@
+//! What the machine has callers told.
+
+use bytes::Bytes;
+use flamingorock_core::traffic::{Event, Traffic};
+use flamingorock_core::{CallerKey, ResultCode, TransactionStatus};
+use flamingorock_frontend::Refusal;
+use flamingorock_peer::CallerCancel;
+
+use super::Callers;
+use super::caller::{Caller, Next};
+use crate::driven::Driven;
+use crate::io_context::IoContext;
+use crate::metrics::CodeLabel;
+use crate::net::CallerSocketKey;
+
+impl Callers {
+    /// Delivers an answer.
+    pub fn deliver(
+        &mut self,
+        io: &mut IoContext,
+        machine: &mut Driven<Traffic>,
+        session: CallerKey,
+        answer: Bytes,
+        status: TransactionStatus,
+    ) {
+        io.metrics.answers.inc();
+        let Some((key, caller)) = self.find(session) else { return };
+        if let Err(error) = caller.codec.deliver(answer, status, &mut caller.stream.output) {
+            // The caller cannot be told more: part of the answer may have been passed on.
+            tracing::warn!(%error, "caller's connection closed");
+            return self.remove(io, machine, key);
+        }
+        self.go_on(io, machine, key);
+    }
+
+    /// Tells a caller that its request was not answered by a backend server.
+    pub fn refuse(
+        &mut self,
+        io: &mut IoContext,
+        machine: &mut Driven<Traffic>,
+        session: CallerKey,
+        code: ResultCode,
+        status: TransactionStatus,
+    ) {
+        io.metrics.requests_refused.get_or_create(&CodeLabel { code: code.number() }).inc();
+        let Some((key, caller)) = self.find(session) else { return };
+        let answer = caller.codec.refuse(&Refusal::new(code, ""), status);
+        caller.stream.output.push(answer);
+        self.go_on(io, machine, key);
+    }
+
+    /// Takes up a caller's next request after an answer. A caller that does not read its answers is
+    /// disconnected when they exceed the limit.
+    fn go_on(&mut self, io: &mut IoContext, machine: &mut Driven<Traffic>, key: CallerSocketKey) {
+        io.dirty.push(key.into());
+        let Some(caller) = self.sockets.get_mut(key) else { return };
+        let next = match caller.stream.output.check() {
+            Ok(()) => caller.take_messages(io, machine, &self.rules, key.into()),
+            Err(_) => Next::Close,
+        };
+        self.carry_on(io, machine, key, next);
+    }
+
+    /// Closes a caller's connection at a transaction boundary. A request that has arrived already is
+    /// taken in instead; the machine closes the caller again after the answer.
+    pub fn close(
+        &mut self,
+        io: &mut IoContext,
+        machine: &mut Driven<Traffic>,
+        session: CallerKey,
+        code: ResultCode,
+    ) {
+        let Some((key, caller)) = self.find(session) else { return };
+        let next = caller.read(io, machine, &self.rules, key.into());
+        self.carry_on(io, machine, key, next);
+        let Some((key, caller)) = self.find(session) else { return };
+        if caller.codec.is_in_flight() {
+            return;
+        }
+        if caller.has_partial_request() {
+            // The rest of the request is on its way.
+            caller.await_rest(code, io.now_us);
+            io.deadlines.extend(caller.deadline_us, key.into());
+        } else {
+            self.turn_away(io, machine, key, &Refusal::new(code, ""));
+        }
+    }
+
+    /// Passes on a cancel request for a caller of this thread.
+    pub fn cancel(&self, machine: &mut Driven<Traffic>, cancel: &CallerCancel) {
+        let caller = self.keys.find(cancel).and_then(|key| self.sockets.get(key));
+        if let Some(session) = caller.and_then(|caller| caller.session) {
+            machine.push(Event::CancelRequested { caller: session });
+        }
+    }
+
+    fn find(&mut self, session: CallerKey) -> Option<(CallerSocketKey, &mut Caller)> {
+        let key = *self.by_caller.get(&session)?;
+        Some((key, self.sockets.get_mut(key)?))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/perform.rs
@@ -0,0 +1,124 @@
+//! Actions of the traffic machine and messages to its thread.
+
+use std::sync::Arc;
+
+use flamingorock_core::control::GroupOperation;
+use flamingorock_core::message::TrafficMessage;
+use flamingorock_core::traffic::{Action, ConnectionLoss, Event};
+use flamingorock_core::{ConnectionKey, HostId, InstanceId, RequestKey, View};
+
+use super::{Statistics, TrafficThread};
+use crate::mail::{ControlMail, TrafficMail};
+use crate::monitors::{Call, MonitorTarget};
+
+impl TrafficThread {
+    pub(super) fn perform(&mut self, action: Action) {
+        let (io, machine) = (&mut self.io, &mut self.machine);
+        match action {
+            Action::Deliver { caller, answer, status } => {
+                self.callers.deliver(io, machine, caller, answer, status);
+            }
+            Action::Refuse { caller, code, status } => {
+                self.callers.refuse(io, machine, caller, code, status);
+            }
+            Action::CloseCaller { caller, code } => self.callers.close(io, machine, caller, code),
+            Action::Send { host, request, message } => self.send(host, request, message),
+            Action::OpenConnection { connection, instance } => self.open(connection, instance),
+            Action::Execute { connection, work, payload, max_answer_bytes } => {
+                self.backends.execute(io, connection, work, payload, max_answer_bytes);
+            }
+            Action::ResetConnection { connection } => self.backends.reset(io, connection),
+            Action::CancelConnection { connection } => {
+                if let Some((address, request)) = self.backends.cancel_request(connection) {
+                    self.cancels.start(io, address, request);
+                }
+            }
+            Action::CloseConnection { connection } => self.backends.close(io, connection),
+            Action::Probe { instance, probe_number, deadline_us } => {
+                self.probe(instance, probe_number, deadline_us);
+            }
+            Action::ReportQuiescent { database, epoch } => {
+                self.router.to_control(ControlMail::Quiescent { database, epoch });
+            }
+            Action::ReportSuperseded { database, epoch } => {
+                self.router.to_control(ControlMail::Superseded { database, epoch });
+            }
+        }
+    }
+
+    fn send(&mut self, host: HostId, request: Option<RequestKey>, message: TrafficMessage) {
+        if host == self.config.host {
+            return self.pass_on(host, message);
+        }
+        if self.outgoing.send(&mut self.io, host, &message, request).is_err()
+            && let Some(request) = request
+        {
+            self.machine.push(Event::SendFailed { host, request });
+        }
+    }
+
+    /// Hands a message to the machine that it is for.
+    pub(super) fn pass_on(&mut self, from: HostId, message: TrafficMessage) {
+        let thread = self.router.thread_for(&message);
+        if self.router.is_own(thread) {
+            self.machine.push(Event::MessageReceived { from, message });
+        } else {
+            self.router.to_thread(thread, TrafficMail::Message { from, message });
+        }
+    }
+
+    fn open(&mut self, connection: ConnectionKey, instance: InstanceId) {
+        let configuration = Arc::clone(&self.view.configuration);
+        let (io, machine) = (&mut self.io, &mut self.machine);
+        match (configuration.database(instance.database), configuration.instance(instance)) {
+            (Some(database), Some(found)) => {
+                self.backends.open(io, machine, connection, found.address, &database.name);
+            }
+            _ => {
+                let reason = ConnectionLoss::ConnectFailed;
+                machine.push(Event::ConnectionLost { connection, reason });
+            }
+        }
+    }
+
+    fn probe(&mut self, instance: InstanceId, probe_number: u64, deadline_us: u64) {
+        let configuration = Arc::clone(&self.view.configuration);
+        let machine = &mut self.machine;
+        let tag = (instance, probe_number);
+        let Some(target) = MonitorTarget::find(&configuration, instance) else {
+            return super::push_probed(machine, tag, Err(super::NOT_CONFIGURED));
+        };
+        let call = Call { tag, operation: GroupOperation::Status, deadline_us };
+        self.monitors.call(&mut self.io, target, call, |tag, result| {
+            super::push_probed(machine, tag, result);
+        });
+    }
+
+    pub(super) fn take_one(&mut self, mail: TrafficMail) {
+        match mail {
+            TrafficMail::View(view) => self.take_view(view),
+            TrafficMail::Message { from, message } => {
+                self.machine.push(Event::MessageReceived { from, message });
+            }
+            TrafficMail::LinkLost { host } => self.machine.push(Event::LinkLost { host }),
+            TrafficMail::Cancel(cancel) => self.callers.cancel(&mut self.machine, &cancel),
+            TrafficMail::Statistics(answer) => {
+                let machine = self.machine.machine();
+                let (gauges, counters) = (machine.gauges(), machine.counters().to_vec());
+                let thread = self.config.thread;
+                // An operator who has stopped waiting misses the answer.
+                let _ = answer.try_send(Statistics { thread, gauges, counters });
+            }
+            TrafficMail::Stop => self.stopped = true,
+        }
+    }
+
+    fn take_view(&mut self, view: Arc<View>) {
+        self.callers.set_configuration(&view.configuration);
+        self.view = Arc::clone(&view);
+        self.machine.push(Event::ViewChanged(view));
+        if self.view.draining {
+            self.close_listener();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/thread.rs
@@ -0,0 +1,261 @@
+//! Loop of a traffic thread.
+
+use std::sync::Arc;
+
+use flamingorock_core::traffic::{Event, Traffic, TrafficConfig};
+use flamingorock_core::{HostId, RequestKey, View};
+use flamingorock_frontend::FunctionGroupProtocol;
+use flamingorock_peer::{Hello, LinkPurpose};
+use mio::net::TcpListener;
+use mio::{Interest, Token};
+
+use super::{Backends, Callers, Cancels, ProbeTag, Router, TrafficParts, push_probed};
+use crate::driven::Driven;
+use crate::error::DaemonError;
+use crate::io_context::IoContext;
+use crate::links::{IncomingLinks, LinkLoss, OutgoingLinks};
+use crate::mail::{ControlMail, TrafficMail};
+use crate::metrics::ThreadLabel;
+use crate::monitors::Monitors;
+use crate::net::{SocketTable, listen};
+use crate::poller::Poller;
+
+const CALLERS: Token = Token(1);
+const PEERS: Token = Token(2);
+
+/// Delay before messages are offered again to a thread whose mailbox was full.
+const RETRY_US: u64 = 1_000;
+
+/// Messages taken from the mailbox in one wake-up.
+const MAIL_BUDGET: usize = 4096;
+
+/// A traffic thread: its machine and its sockets.
+pub struct TrafficThread {
+    pub(super) poller: Poller<TrafficMail>,
+    pub(super) io: IoContext,
+    pub(super) machine: Driven<Traffic>,
+    pub(super) config: TrafficConfig,
+    pub(super) callers: Callers,
+    pub(super) backends: Backends,
+    pub(super) cancels: Cancels,
+    pub(super) monitors: Monitors<ProbeTag, FunctionGroupProtocol>,
+    pub(super) incoming: IncomingLinks,
+    pub(super) outgoing: OutgoingLinks<RequestKey>,
+    pub(super) router: Router,
+    pub(super) view: Arc<View>,
+    pub(super) stopped: bool,
+    /// Whether the mailbox may hold more than was taken in the last wake-up.
+    mail_left: bool,
+    caller_listener: Option<TcpListener>,
+    peer_listener: TcpListener,
+    idle_reported: bool,
+    retry_us: Option<u64>,
+    ready: Vec<Token>,
+}
+
+impl TrafficThread {
+    /// Opens the listeners of the thread.
+    ///
+    /// # Errors
+    ///
+    /// An address is in use, or the system is out of file descriptors.
+    pub fn new(poller: Poller<TrafficMail>, parts: TrafficParts) -> Result<Self, DaemonError> {
+        let settings = &parts.settings;
+        let registry = poller.registry().map_err(DaemonError::starting("a traffic thread"))?;
+        let open = |address, purpose, token| {
+            let open = || {
+                let mut listener = listen(address)?;
+                registry.register(&mut listener, token, Interest::READABLE)?;
+                Ok(listener)
+            };
+            open().map_err(|error| DaemonError::Listen { purpose, address, error })
+        };
+        let caller_listener = open(settings.listen.callers, "callers", CALLERS)?;
+        let peer_listener = open(settings.listen.peers, "peers", PEERS)?;
+        let from_thread = parts.config.thread;
+        let hello = Hello::new(settings.host.id, LinkPurpose::Traffic { from_thread });
+        let router = Router::new(parts.config.clone(), parts.threads, parts.control);
+        let io = IoContext::new(registry, parts.clock, parts.metrics);
+        Ok(Self {
+            poller,
+            io,
+            machine: Driven::new(Traffic::new(parts.config.clone())),
+            callers: Callers::new(&parts.config, settings.traffic.callers_limit),
+            config: parts.config,
+            backends: Backends::default(),
+            cancels: Cancels::default(),
+            monitors: Monitors::new(FunctionGroupProtocol),
+            incoming: IncomingLinks::new(settings.peers.keys().copied().collect()),
+            outgoing: OutgoingLinks::new(hello, settings.peers.clone()),
+            router,
+            view: Arc::default(),
+            stopped: false,
+            mail_left: false,
+            caller_listener: Some(caller_listener),
+            peer_listener,
+            idle_reported: false,
+            retry_us: None,
+            ready: Vec::new(),
+        })
+    }
+
+    /// Runs until the control thread stops it.
+    pub fn run(mut self) {
+        let label = ThreadLabel { thread: self.config.thread };
+        let ticks = self.io.metrics.traffic_ticks.get_or_create(&label).clone();
+        let waiting = self.io.metrics.mailbox_waiting.get_or_create(&label).clone();
+        while !self.stopped {
+            self.wait();
+            self.take_events();
+            self.take_mail();
+            self.expire();
+            self.machine.tick(self.io.now_us);
+            ticks.inc();
+            self.carry_out();
+            self.flush();
+            let unsent = self.router.flush();
+            waiting.set(i64::try_from(unsent).unwrap_or(i64::MAX));
+            self.retry_us = (unsent > 0).then_some(self.io.now_us + RETRY_US);
+            self.report_idle();
+        }
+        // Answers that were written last still reach the other proxies.
+        self.outgoing.finish();
+    }
+
+    /// Blocks until something is to be done.
+    fn wait(&mut self) {
+        let busy = self.mail_left || !self.io.unfinished.is_empty();
+        let deadlines = [
+            busy.then_some(0),
+            self.machine.next_deadline_us(),
+            self.io.deadlines.next_us(),
+            self.retry_us,
+        ];
+        let deadline_us = deadlines.into_iter().flatten().min();
+        self.poller.wait(self.io.clock, deadline_us, &mut self.ready);
+        self.io.now_us = self.io.clock.now_us();
+    }
+
+    fn take_events(&mut self) {
+        let mut ready = core::mem::take(&mut self.ready);
+        ready.extend(self.io.unfinished.drain(..));
+        for &token in &ready {
+            match token {
+                CALLERS => self.accept_callers(),
+                PEERS => self.incoming.accept(&mut self.io, &self.peer_listener),
+                _ => self.take_socket(token),
+            }
+        }
+        self.ready = ready;
+    }
+
+    fn accept_callers(&mut self) {
+        if let Some(listener) = &self.caller_listener {
+            self.callers.accept(&mut self.io, listener);
+        }
+    }
+
+    /// Handles an event of a socket, and output that was queued for it.
+    fn take_socket(&mut self, token: Token) {
+        match SocketTable::of(token) {
+            Some(SocketTable::Callers) => self.take_caller(token),
+            Some(SocketTable::Backends) => {
+                self.backends.ready(&mut self.io, &mut self.machine, token);
+            }
+            Some(SocketTable::Monitors) => {
+                let machine = &mut self.machine;
+                self.monitors.ready(&mut self.io, token, |tag, result| {
+                    push_probed(machine, tag, result);
+                });
+            }
+            Some(SocketTable::IncomingLinks) => self.take_incoming(token),
+            Some(SocketTable::OutgoingLinks) => {
+                let loss = self.outgoing.ready(&mut self.io, token);
+                self.report_loss(loss);
+            }
+            Some(SocketTable::Cancels) => self.cancels.ready(&mut self.io, token),
+            None => {}
+        }
+    }
+
+    fn take_mail(&mut self) {
+        for _ in 0..MAIL_BUDGET {
+            let Some(mail) = self.poller.take_mail() else {
+                self.mail_left = false;
+                return;
+            };
+            self.take_one(mail);
+        }
+        self.mail_left = true;
+    }
+
+    fn expire(&mut self) {
+        while let Some(token) = self.io.deadlines.pop_due(self.io.now_us) {
+            match SocketTable::of(token) {
+                Some(SocketTable::Callers) => {
+                    self.callers.expire(&mut self.io, &mut self.machine, token);
+                }
+                Some(SocketTable::Backends) => {
+                    self.backends.expire(&mut self.io, &mut self.machine, token);
+                }
+                Some(SocketTable::Monitors) => {
+                    let machine = &mut self.machine;
+                    self.monitors.expire(&mut self.io, token, |tag, result| {
+                        push_probed(machine, tag, result);
+                    });
+                }
+                Some(SocketTable::IncomingLinks) => self.incoming.expire(&mut self.io, token),
+                Some(SocketTable::OutgoingLinks) => {
+                    let loss = self.outgoing.expire(&mut self.io, token);
+                    self.report_loss(loss);
+                }
+                Some(SocketTable::Cancels) => self.cancels.expire(&mut self.io, token),
+                None => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let actions: Vec<_> = self.machine.machine_mut().drain_actions().collect();
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Reports the loss of an outgoing link to the machines whose requests it concerns.
+    pub(super) fn report_loss(&mut self, loss: Option<LinkLoss<RequestKey>>) {
+        let Some(loss) = loss else { return };
+        for request in loss.unsent {
+            self.machine.push(Event::SendFailed { host: loss.host, request });
+        }
+        if loss.in_doubt {
+            self.machine.push(Event::LinkLost { host: loss.host });
+        }
+    }
+
+    /// Reports the end of an incoming link to all threads: the answers that it would have carried
+    /// can be for callers of any of them.
+    pub(super) fn report_end(&mut self, host: HostId) {
+        self.machine.push(Event::LinkLost { host });
+        self.router.to_other_threads(|| TrafficMail::LinkLost { host });
+    }
+
+    /// Stops accepting when the process is shutting down. Callers that had connected before are
+    /// taken in and told so.
+    pub(super) fn close_listener(&mut self) {
+        self.accept_callers();
+        if let Some(mut listener) = self.caller_listener.take() {
+            // The socket is closed right after; a failure to deregister it changes nothing.
+            let _ = self.io.registry.deregister(&mut listener);
+        }
+    }
+
+    /// Reports once, while shutting down, that no callers are left and everything has been sent.
+    fn report_idle(&mut self) {
+        let idle = self.view.draining && self.callers.is_empty() && self.outgoing.is_flushed();
+        if idle && !self.idle_reported && self.retry_us.is_none() {
+            self.idle_reported = true;
+            self.router.to_control(ControlMail::TrafficIdle { thread: self.config.thread });
+        }
+    }
+}
