Run the machines on threads with sockets, signals and an admin port

The machines of the core need I/O: callers, backend servers, monitor connections, links and heartbeats between proxies, the platform's services and operators. One control thread and a fixed number of traffic threads poll tables of sockets, turn bytes into events and carry out actions; store calls, the host list and the admin port have threads of their own.

The processes have not been run end to end yet.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,9 +1,10 @@
 //! The metrics and admin port.
 
 mod authorization;
+mod burn;
 mod reply;
 mod request;
 mod server;
 
 pub use request::AdminRequest;
-pub use server::AdminServer;
+pub use server::{AdminParts, AdminServer};
--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -3,14 +3,16 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flamingorock_config::AdminKey;
+use flamingorock_core::HostId;
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use super::AdminRequest;
 use super::authorization::is_authorized;
+use super::burn::{BurnHistory, SAMPLE_INTERVAL_S};
 use super::reply::Reply;
 use crate::error::DaemonError;
 use crate::mail::{ControlMail, TrafficMail};
@@ -24,14 +26,31 @@
 /// Greatest size of a request body.
 const BODY_LIMIT_BYTES: u64 = 64 * 1024;
 
+/// What the admin server is made of.
+pub struct AdminParts {
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Key of the operators.
+    pub key: AdminKey,
+    /// This host.
+    pub host: HostId,
+    /// Start of the process that the reports are of.
+    pub incarnation: u64,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Mailbox of the control thread.
+    pub control: MailSender<ControlMail>,
+    /// Mailboxes of the traffic threads.
+    pub traffic: Vec<MailSender<TrafficMail>>,
+}
+
 /// Server of the metrics and admin port. It runs on a thread of its own and reaches the others only
 /// over their mailboxes.
 pub struct AdminServer {
     server: Server,
-    key: AdminKey,
-    metrics: Arc<Metrics>,
-    control: MailSender<ControlMail>,
-    traffic: Vec<MailSender<TrafficMail>>,
+    parts: AdminParts,
+    history: BurnHistory,
+    started: Instant,
 }
 
 impl AdminServer {
@@ -40,40 +59,61 @@
     /// # Errors
     ///
     /// The address cannot be used.
-    pub fn bind(
-        address: SocketAddr,
-        key: AdminKey,
-        metrics: Arc<Metrics>,
-        control: MailSender<ControlMail>,
-        traffic: Vec<MailSender<TrafficMail>>,
-    ) -> Result<Self, DaemonError> {
+    pub fn bind(parts: AdminParts) -> Result<Self, DaemonError> {
+        let address = parts.address;
         let server = Server::http(address).map_err(|error| DaemonError::Listen {
             purpose: "metrics and admin",
             address,
             error: std::io::Error::other(error),
         })?;
-        Ok(Self { server, key, metrics, control, traffic })
+        let history = BurnHistory::new(parts.host, parts.incarnation);
+        Ok(Self { server, parts, history, started: Instant::now() })
     }
 
-    /// Answers requests until the process ends.
-    pub fn run(self) {
-        for mut request in self.server.incoming_requests() {
-            let reply = self.answer(&mut request);
-            let header = Header::from_bytes("Content-Type", reply.content_type)
-                .expect("the content types are valid header values");
-            let response = Response::from_string(reply.body)
-                .with_status_code(reply.status)
-                .with_header(header);
-            // The operator's connection may have gone; there is nobody to tell.
-            let _ = request.respond(response);
+    /// Answers requests, and samples the counters for the burn report, until the process ends.
+    pub fn run(mut self) {
+        let interval = Duration::from_secs(SAMPLE_INTERVAL_S);
+        let mut next_sample = self.started;
+        loop {
+            let wait = next_sample.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                self.history.sample(self.uptime_s(), &self.statistics());
+                next_sample += interval;
+                continue;
+            }
+            match self.server.recv_timeout(wait) {
+                Ok(Some(request)) => self.respond(request),
+                Ok(None) => {}
+                Err(error) => {
+                    tracing::error!(%error, "the admin port has stopped");
+                    return;
+                }
+            }
         }
     }
 
+    fn uptime_s(&self) -> u64 {
+        self.started.elapsed().as_secs()
+    }
+
+    fn respond(&self, mut request: Request) {
+        let reply = self.answer(&mut request);
+        let header = Header::from_bytes("Content-Type", reply.content_type)
+            .expect("the content types are valid header values");
+        let response =
+            Response::from_string(reply.body).with_status_code(reply.status).with_header(header);
+        // The operator's connection may have gone; there is nobody to tell.
+        let _ = request.respond(response);
+    }
+
     fn answer(&self, request: &mut Request) -> Reply {
         let path = request.url().split('?').next().unwrap_or_default().to_owned();
         let method = request.method().clone();
-        if path.starts_with("/admin/") && !is_authorized(request, &self.key) {
-            return Reply::text(401, "the header \"Authorization: Bearer KEY\" is missing or wrong");
+        if path.starts_with("/admin/") && !is_authorized(request, &self.parts.key) {
+            return Reply::text(
+                401,
+                "the header \"Authorization: Bearer KEY\" is missing or wrong",
+            );
         }
         match (method, path.as_str()) {
             (Method::Get, "/metrics") => self.metrics(),
@@ -92,8 +132,8 @@
     }
 
     fn metrics(&self) -> Reply {
-        Statistics::publish(&self.statistics(), &self.metrics);
-        Reply::metrics(self.metrics.render())
+        Statistics::publish(&self.statistics(), &self.parts.metrics);
+        Reply::metrics(self.parts.metrics.render())
     }
 
     fn ready(&self) -> Reply {
@@ -109,11 +149,11 @@
     }
 
     fn burn(&self) -> Reply {
-        Reply::json(Statistics::burn_json(&self.statistics()))
+        Reply::json(self.history.report(self.uptime_s(), &self.statistics()))
     }
 
     fn drain(&self) -> Reply {
-        match self.control.try_send(ControlMail::Admin(AdminRequest::Drain)) {
+        match self.parts.control.try_send(ControlMail::Admin(AdminRequest::Drain)) {
             Ok(()) => Reply::text(202, "shutting down"),
             Err(_) => no_answer(),
         }
@@ -135,15 +175,15 @@
     /// Asks the control thread; `None` if it does not answer in time.
     fn ask<T>(&self, build: impl FnOnce(Sender<T>) -> AdminRequest) -> Option<T> {
         let (answer, receiver) = bounded(1);
-        self.control.try_send(ControlMail::Admin(build(answer))).ok()?;
+        self.parts.control.try_send(ControlMail::Admin(build(answer))).ok()?;
         receiver.recv_timeout(ANSWER_LIMIT).ok()
     }
 
     /// Counters and sizes of the traffic threads that answer in time.
     fn statistics(&self) -> Vec<Statistics> {
         let (answer, receiver): (Sender<Statistics>, Receiver<Statistics>) =
-            bounded(self.traffic.len());
-        for sender in &self.traffic {
+            bounded(self.parts.traffic.len());
+        for sender in &self.parts.traffic {
             // A thread whose mailbox is full is left out this time.
             let _ = sender.try_send(TrafficMail::Statistics(answer.clone()));
         }
--- a/crates/daemon/src/control/perform.rs
+++ b/crates/daemon/src/control/perform.rs
@@ -37,8 +37,9 @@
     fn call_store(&mut self, call: StoreCallKey, operation: StoreOperation, deadline_us: u64) {
         self.io.metrics.store_calls.inc();
         let database = match &operation {
-            StoreOperation::GetOwner { database }
-            | StoreOperation::SwapOwner { database, .. } => Some(*database),
+            StoreOperation::GetOwner { database } | StoreOperation::SwapOwner { database, .. } => {
+                Some(*database)
+            }
             StoreOperation::GetConfiguration | StoreOperation::WatchConfiguration { .. } => None,
         };
         let found = database.and_then(|database| self.configuration.database(database));
--- a/crates/daemon/src/control/store_pool.rs
+++ b/crates/daemon/src/control/store_pool.rs
@@ -7,7 +7,9 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flamingorock_core::StoreCallKey;
 use flamingorock_core::control::StoreOperation;
-use flamingorock_platform::{ConsulHostList, ConsulStore, HostList, KeyValueStore, Keys, carry_out};
+use flamingorock_platform::{
+    ConsulHostList, ConsulStore, HostList, KeyValueStore, Keys, carry_out,
+};
 
 use crate::error::DaemonError;
 use crate::mail::ControlMail;
--- a/crates/daemon/src/control/take_mail.rs
+++ b/crates/daemon/src/control/take_mail.rs
@@ -39,7 +39,7 @@
                 let _ = answer.try_send(ready);
             }
             AdminRequest::Status(answer) => {
-                let status = self.machine.machine().status(self.io.now_us);
+                let status = self.machine.machine().status();
                 let json = serde_json::to_string(&status).unwrap_or_else(|error| error.to_string());
                 let _ = answer.try_send(json);
             }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -61,8 +61,11 @@
         let starting = || DaemonError::starting("the control thread");
         let settings = &parts.settings;
         let address = settings.listen.peers;
-        let socket = bind_udp(address)
-            .map_err(|error| DaemonError::Listen { purpose: "heartbeats", address, error })?;
+        let socket = bind_udp(address).map_err(|error| DaemonError::Listen {
+            purpose: "heartbeats",
+            address,
+            error,
+        })?;
         let mut heartbeats = HeartbeatSocket::new(socket, settings.peers.clone());
         let mut signals = Signals::install().map_err(starting())?;
         let registry = poller.registry().map_err(starting())?;
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -9,12 +9,10 @@
 
 pub use connect_state::is_connected;
 pub use deadlines::Deadlines;
-pub use options::{
-    CALLER_SILENCE, PEER_SILENCE, bind_udp, connect, listen, set_stream_options,
-};
+pub use options::{CALLER_SILENCE, PEER_SILENCE, bind_udp, connect, listen, set_stream_options};
 pub use socket_key::{
     BackendSocketKey, CallerSocketKey, CancelSocketKey, IncomingLinkKey, MonitorSocketKey,
     OutgoingLinkKey, SocketKey, SocketTable,
 };
 pub use stream::{READ_BUDGET_BYTES, ReadOutcome, Scratch, Stream};
-pub use write_buffer::{BufferFull, WriteBuffer};
+pub use write_buffer::WriteBuffer;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,7 +10,7 @@
 use flamingorock_core::traffic::TrafficConfig;
 use flamingorock_platform::{ConsulHostList, ConsulStore, Keys};
 
-use crate::admin::AdminServer;
+use crate::admin::{AdminParts, AdminServer};
 use crate::clock::Clock;
 use crate::control::{ControlParts, ControlThread, Exit, StorePool};
 use crate::error::DaemonError;
@@ -47,9 +47,10 @@
         control: control.sender(),
     };
     let traffic = traffic_threads(pollers, &parts)?;
-    let admin = admin_server(&parts)?;
+    let incarnation = incarnation();
+    let admin = admin_server(&parts, incarnation)?;
     let store = store_pool(&parts)?;
-    let machine = Control::new(control_config(&settings));
+    let machine = Control::new(control_config(&settings, incarnation));
     let traffic_mailboxes = mailboxes.clone();
     let control_parts =
         ControlParts { settings, machine, clock, metrics, traffic: traffic_mailboxes, store };
@@ -57,7 +58,9 @@
     let handles = start_threads(traffic, admin, &parts.control)?;
     tracing::info!(host = %parts.settings.host.id, "started");
     let exit = control.run();
-    stop(&mailboxes, handles);
+    if exit == Exit::Drained {
+        stop(&mailboxes, handles);
+    }
     end(exit)
 }
 
@@ -80,14 +83,17 @@
         .collect()
 }
 
-fn admin_server(parts: &TrafficParts) -> Result<AdminServer, DaemonError> {
-    AdminServer::bind(
-        parts.settings.listen.admin,
-        parts.settings.admin.key.clone(),
-        Arc::clone(&parts.metrics),
-        parts.control.clone(),
-        parts.threads.clone(),
-    )
+fn admin_server(parts: &TrafficParts, incarnation: u64) -> Result<AdminServer, DaemonError> {
+    let settings = &parts.settings;
+    AdminServer::bind(AdminParts {
+        address: settings.listen.admin,
+        key: settings.admin.key.clone(),
+        host: settings.host.id,
+        incarnation,
+        metrics: Arc::clone(&parts.metrics),
+        control: parts.control.clone(),
+        traffic: parts.threads.clone(),
+    })
 }
 
 fn store_pool(parts: &TrafficParts) -> Result<StorePool, DaemonError> {
@@ -97,11 +103,14 @@
     StorePool::start(&store, &keys, host_list, &parts.control, Arc::clone(&parts.metrics))
 }
 
-/// The incarnation and the seed come from the time of day, so that each start of a host differs from
-/// the one before and hosts differ from each other.
-fn control_config(settings: &Settings) -> ControlConfig {
+/// Time of day, so that each start of a host differs from the one before.
+fn incarnation() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// The seed includes the host, since hosts may start at the same time.
+fn control_config(settings: &Settings, incarnation: u64) -> ControlConfig {
     let host = settings.host.id;
     ControlConfig::new(host)
         .peers(settings.peers.keys().copied().collect())
@@ -139,6 +148,8 @@
     spawned.map_err(DaemonError::starting("a thread"))
 }
 
+/// Lets the traffic threads finish. Not done if the process has to end at once: a thread that hangs
+/// would keep it from that.
 fn stop(mailboxes: &[MailSender<TrafficMail>], handles: Vec<JoinHandle<()>>) {
     for mailbox in mailboxes {
         mailbox.send(TrafficMail::Stop);
--- a/crates/daemon/src/traffic/callers/answers.rs
+++ b/crates/daemon/src/traffic/callers/answers.rs
@@ -70,10 +70,11 @@
         session: CallerKey,
         code: ResultCode,
     ) {
-        let Some((key, caller)) = self.find(session) else { return };
+        let Some(key) = self.by_caller.get(&session).copied() else { return };
+        let Some(caller) = self.sockets.get_mut(key) else { return };
         let next = caller.read(io, machine, &self.rules, key.into());
         self.carry_on(io, machine, key, next);
-        let Some((key, caller)) = self.find(session) else { return };
+        let Some((_, caller)) = self.find(session) else { return };
         if caller.codec.is_in_flight() {
             return;
         }
--- a/crates/daemon/src/traffic/cancel_keys.rs
+++ b/crates/daemon/src/traffic/cancel_keys.rs
@@ -1,6 +1,7 @@
 //! Keys by which callers cancel their requests.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::hash::{BuildHasher, RandomState};
 
 use flamingorock_core::HostId;
@@ -31,8 +32,8 @@
     pub fn issue(&mut self, caller: CallerSocketKey) -> CallerCancel {
         loop {
             let key = self.generate();
-            if !self.issued.contains_key(&key) {
-                self.issued.insert(key, caller);
+            if let Entry::Vacant(entry) = self.issued.entry(key) {
+                entry.insert(caller);
                 return key;
             }
         }
--- a/crates/daemon/src/traffic/perform.rs
+++ b/crates/daemon/src/traffic/perform.rs
@@ -38,10 +38,10 @@
                 self.probe(instance, probe_number, deadline_us);
             }
             Action::ReportQuiescent { database, epoch } => {
-                self.router.to_control(ControlMail::Quiescent { database, epoch });
+                self.router.send_to_control(ControlMail::Quiescent { database, epoch });
             }
             Action::ReportSuperseded { database, epoch } => {
-                self.router.to_control(ControlMail::Superseded { database, epoch });
+                self.router.send_to_control(ControlMail::Superseded { database, epoch });
             }
         }
     }
@@ -63,7 +63,7 @@
         if self.router.is_own(thread) {
             self.machine.push(Event::MessageReceived { from, message });
         } else {
-            self.router.to_thread(thread, TrafficMail::Message { from, message });
+            self.router.send_to_thread(thread, TrafficMail::Message { from, message });
         }
     }
 
@@ -106,8 +106,9 @@
                 let machine = self.machine.machine();
                 let (gauges, counters) = (machine.gauges(), machine.counters().to_vec());
                 let thread = self.config.thread;
+                let configuration = Arc::clone(&self.view.configuration);
                 // An operator who has stopped waiting misses the answer.
-                let _ = answer.try_send(Statistics { thread, gauges, counters });
+                let _ = answer.try_send(Statistics { thread, configuration, gauges, counters });
             }
             TrafficMail::Stop => self.stopped = true,
         }
--- a/crates/daemon/src/traffic/router.rs
+++ b/crates/daemon/src/traffic/router.rs
@@ -47,14 +47,14 @@
 
     /// Sends to another traffic thread. A thread that does not exist can only be named by a peer
     /// with other settings; the message is dropped.
-    pub fn to_thread(&mut self, thread: u8, mail: TrafficMail) {
+    pub fn send_to_thread(&mut self, thread: u8, mail: TrafficMail) {
         if let Some(outbox) = self.threads.get_mut(usize::from(thread)) {
             outbox.send(mail);
         }
     }
 
     /// Sends to all other traffic threads.
-    pub fn to_other_threads(&mut self, build: impl Fn() -> TrafficMail) {
+    pub fn send_to_other_threads(&mut self, build: impl Fn() -> TrafficMail) {
         for (thread, outbox) in self.threads.iter_mut().enumerate() {
             if thread != usize::from(self.config.thread) {
                 outbox.send(build());
@@ -63,13 +63,13 @@
     }
 
     /// Sends to the control thread.
-    pub fn to_control(&mut self, mail: ControlMail) {
+    pub fn send_to_control(&mut self, mail: ControlMail) {
         self.control.send(mail);
     }
 
     /// Sends to the control thread, or drops the message if there is no room. Only for messages
     /// that their sender repeats. Returns whether it was sent.
-    pub fn to_control_or_drop(&mut self, mail: ControlMail) -> bool {
+    pub fn offer_to_control(&mut self, mail: ControlMail) -> bool {
         self.control.send_or_drop(mail)
     }
 
--- a/crates/daemon/src/traffic/statistics.rs
+++ b/crates/daemon/src/traffic/statistics.rs
@@ -1,5 +1,8 @@
 //! Counters and sizes of traffic machines.
 
+use std::sync::Arc;
+
+use flamingorock_core::configuration::Configuration;
 use flamingorock_core::traffic::{Gauges, RankCounters, ServiceCounters};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -11,6 +14,8 @@
 pub struct Statistics {
     /// Index of the thread.
     pub thread: u8,
+    /// Configuration in force.
+    pub configuration: Arc<Configuration>,
     /// Sizes of the tables.
     pub gauges: Gauges,
     /// Counters by service and rank.
--- a/crates/daemon/src/traffic/thread.rs
+++ b/crates/daemon/src/traffic/thread.rs
@@ -237,7 +237,7 @@
     /// can be for callers of any of them.
     pub(super) fn report_end(&mut self, host: HostId) {
         self.machine.push(Event::LinkLost { host });
-        self.router.to_other_threads(|| TrafficMail::LinkLost { host });
+        self.router.send_to_other_threads(|| TrafficMail::LinkLost { host });
     }
 
     /// Stops accepting when the process is shutting down. Callers that had connected before are
@@ -255,7 +255,7 @@
         let idle = self.view.draining && self.callers.is_empty() && self.outgoing.is_flushed();
         if idle && !self.idle_reported && self.retry_us.is_none() {
             self.idle_reported = true;
-            self.router.to_control(ControlMail::TrafficIdle { thread: self.config.thread });
+            self.router.send_to_control(ControlMail::TrafficIdle { thread: self.config.thread });
         }
     }
 }
