--- a/crates/frontend/src/caller/plan.rs
+++ b/crates/frontend/src/caller/plan.rs
@@ -30,6 +30,14 @@
     Drop(Box<[u8]>),
 }
 
+impl StatementChange {
+    pub(crate) fn name(&self) -> &[u8] {
+        match self {
+            Self::Keep(name, _) | Self::Drop(name) => name,
+        }
+    }
+}
+
 /// A part of an answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Step {
@@ -99,8 +107,8 @@
 
 impl AnswerPlan {
     pub(crate) fn clear(&mut self) {
-        self.steps.clear();
-        self.changes.clear();
+        clear(&mut self.steps);
+        clear(&mut self.changes);
         self.leaves_out_ready = false;
     }
 
@@ -122,6 +130,7 @@
                 walk.pass(out);
                 out.extend(Some(self.run_local(step, session)));
             } else if !walk.step(step, out)? {
+                self.note_failure(step, session);
                 failed = true;
                 break;
             } else if let Step::Parse(change) = step {
@@ -137,6 +146,15 @@
         Ok(failed)
     }
 
+    /// A `Parse` of the unnamed statement that fails leaves no unnamed statement, as in PostgreSQL.
+    fn note_failure(&self, step: &Step, session: &mut Session) {
+        if let Step::Parse(change) = step
+            && self.changes[*change].name().is_empty()
+        {
+            session.kept.remove(&[]);
+        }
+    }
+
     fn run_local(&self, step: &LocalStep, session: &mut Session) -> Bytes {
         let mut buffer = BytesMut::new();
         match step {
@@ -167,6 +185,15 @@
     }
 }
 
+/// Clears a list, and frees it if a large batch has made it large.
+fn clear<T>(list: &mut Vec<T>) {
+    const KEPT_CAPACITY: usize = 256;
+    list.clear();
+    if list.capacity() > KEPT_CAPACITY {
+        *list = Vec::new();
+    }
+}
+
 /// Progress through an answer.
 struct Walk {
     /// What has not been passed on or removed.
--- a/crates/frontend/src/caller/requests.rs
+++ b/crates/frontend/src/caller/requests.rs
@@ -12,6 +12,9 @@
 use crate::refusal::Refusal;
 use crate::wire::{self, HEADER_BYTES, Reader};
 
+/// Size of a request from which the memory of the buffer is given up with it.
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
 impl CallerCodec {
     pub(super) fn see_unwanted(&mut self, tag: u8, size: usize) -> Option<CallerMessage> {
         self.discard_bytes = size;
@@ -57,12 +60,10 @@
             let error = ProtocolError::MalformedMessage(b'Q');
             return self.reject(b'Q', Rejection::Violation(error));
         };
+        // A simple query ends the unnamed statement.
+        self.session.kept.remove(&[]);
         match classify(sql, &self.session.ranks) {
-            Classification::Routed(kind) => {
-                // A simple query ends the unnamed statement.
-                self.session.kept.remove(&[]);
-                self.request(kind, frame.freeze())
-            }
+            Classification::Routed(kind) => self.request(kind, frame.freeze()),
             Classification::Local(statement) => self.answer_locally(&[statement]),
             Classification::LocalSeveral(statements) => self.answer_locally(&statements),
             Classification::Refused(refusal) => self.reject(b'Q', Rejection::Refused(refusal)),
@@ -85,6 +86,9 @@
 
     fn request(&mut self, kind: StatementKind, payload: Bytes) -> CallerMessage {
         self.phase = Phase::InFlight;
+        if payload.len() > KEPT_BUFFER_BYTES {
+            wire::release_if_empty(&mut self.buffer);
+        }
         let settings = &self.session.settings;
         CallerMessage::Request(Request {
             kind,
@@ -138,13 +142,21 @@
         Some(CallerMessage::LocalAnswer { answer })
     }
 
+    /// Forgets a batch that is not run.
+    pub(super) fn drop_batch(&mut self) {
+        if self.batch.replaces_unnamed {
+            self.session.kept.remove(&[]);
+        }
+        self.batch.clear();
+    }
+
     /// Drops the request that is being read and encodes the error.
     fn reject(&mut self, tag: u8, rejection: Rejection) -> CallerMessage {
         let (refusal, violation) = match rejection {
             Rejection::Refused(refusal) => (refusal, None),
             Rejection::Violation(error) => (error.refusal(), Some(error)),
         };
-        self.batch.clear();
+        self.drop_batch();
         let mut buffer = BytesMut::new();
         refusal.append_error(&mut buffer);
         if matches!(tag, b'Q' | b'F') {
