Disconnect callers after a pause when shutting down

Some drivers report an error that follows an answer at once instead of the answer, so that a commit looked failed though it had taken effect (seen with the crate postgres in the test of shutdowns). A caller is now disconnected 100 ms after its last answer; requests that arrive by then are answered, and after 2 s new ones are refused as not run.

--- a/crates/daemon/src/traffic/callers.rs
+++ b/crates/daemon/src/traffic/callers.rs
@@ -126,6 +126,7 @@
                 self.remove(io, machine, key);
                 return Some(cancel);
             }
+            Next::Refuse(code) => self.turn_away(io, machine, key, &Refusal::new(code, "")),
             Next::Leave => self.leave(io, machine, key),
             Next::Close => self.remove(io, machine, key),
         }
@@ -205,9 +206,10 @@
         if !caller.is_overdue(io.now_us) {
             return;
         }
-        match caller.overdue_code() {
-            Some(code) => self.turn_away(io, machine, key, &Refusal::new(code, "")),
-            None => self.remove(io, machine, key),
+        if caller.is_parting() {
+            self.part(io, machine, key);
+        } else {
+            self.remove(io, machine, key);
         }
     }
 
--- a/crates/daemon/src/traffic/callers/answers.rs
+++ b/crates/daemon/src/traffic/callers/answers.rs
@@ -61,29 +61,37 @@
         self.carry_on(io, machine, key, next);
     }
 
-    /// Closes a caller's connection at a transaction boundary. A request that has arrived already is
-    /// taken in instead; the machine closes the caller again after the answer.
-    pub fn close(
+    /// Closes a caller's connection at a transaction boundary, after a pause. A request that arrives
+    /// by then is taken in; the machine closes the caller again after the answer.
+    pub fn close(&mut self, io: &mut IoContext, session: CallerKey, code: ResultCode) {
+        let now_us = io.now_us;
+        let Some((key, caller)) = self.find(session) else { return };
+        if !caller.codec.is_in_flight() {
+            caller.start_parting(code, now_us);
+            io.deadlines.extend(caller.deadline_us, key.into());
+        }
+    }
+
+    /// Disconnects a caller after the pause, unless a request has arrived.
+    pub(super) fn part(
         &mut self,
         io: &mut IoContext,
         machine: &mut Driven<Traffic>,
-        session: CallerKey,
-        code: ResultCode,
+        key: CallerSocketKey,
     ) {
-        let Some(key) = self.by_caller.get(&session).copied() else { return };
         let Some(caller) = self.sockets.get_mut(key) else { return };
         let next = caller.read(io, machine, &self.rules, key.into());
         self.carry_on(io, machine, key, next);
-        let Some((_, caller)) = self.find(session) else { return };
-        if caller.codec.is_in_flight() {
+        let Some(caller) = self.sockets.get_mut(key).filter(|caller| caller.is_parting()) else {
             return;
-        }
-        if caller.has_partial_request() {
-            // The rest of the request is on its way.
-            caller.await_rest(code, io.now_us);
-            io.deadlines.extend(caller.deadline_us, key.into());
-        } else {
-            self.turn_away(io, machine, key, &Refusal::new(code, ""));
+        };
+        match caller.parting_code(io.now_us) {
+            Some(code) => self.turn_away(io, machine, key, &Refusal::new(code, "")),
+            None => {
+                let now_us = io.now_us;
+                let later = caller.deadline_us.filter(|deadline_us| *deadline_us > now_us);
+                io.deadlines.extend(later, key.into());
+            }
         }
     }
 
--- a/crates/daemon/src/traffic/callers/caller.rs
+++ b/crates/daemon/src/traffic/callers/caller.rs
@@ -1,7 +1,7 @@
 //! A caller's connection.
 
 use flamingorock_core::traffic::{Event, Traffic};
-use flamingorock_core::{CallerKey, DatabaseId, ResultCode};
+use flamingorock_core::{CallerKey, DatabaseId, ResultCode, TransactionStatus};
 use flamingorock_frontend::{
     CallerCodec, CallerMessage, Greeting, Refusal, Request, StartupRequest,
 };
@@ -18,8 +18,13 @@
 /// Time until the startup message must have arrived.
 const STARTUP_LIMIT_US: u64 = 10_000_000;
 
-/// Time for the rest of a request that has arrived in part when the caller is to be disconnected.
-const REST_LIMIT_US: u64 = 2_000_000;
+/// Time between the last answer and the disconnection of a caller. Some drivers report an error that
+/// follows an answer at once instead of the answer.
+const PARTING_DELAY_US: u64 = 100_000;
+
+/// Time during which a caller that is to be disconnected still gets its requests answered, and in
+/// which the rest of a request may arrive.
+const PARTING_LIMIT_US: u64 = 2_000_000;
 
 /// Time that the caller gets to read the last answer and to close its side.
 const CLOSING_LIMIT_US: u64 = 2_000_000;
@@ -38,12 +43,22 @@
     Open(Box<StartupRequest>),
     /// The connection carried a cancel request and is closed.
     Cancel(CallerCancel),
+    /// Tell the caller why its session ends, and close the connection once that is written.
+    Refuse(ResultCode),
     /// End the session and close the connection once everything has been written.
     Leave,
     /// Close the connection.
     Close,
 }
 
+/// A disconnection that is due.
+#[derive(Clone, Copy, Debug)]
+struct Parting {
+    code: ResultCode,
+    /// From when on requests are refused.
+    limit_us: u64,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Startup,
@@ -60,8 +75,7 @@
     pub(super) session: Option<CallerKey>,
     pub(super) cancel_key: Option<CallerCancel>,
     pub(super) deadline_us: Option<u64>,
-    /// Set while the rest of a request is awaited before the caller is disconnected.
-    pub(super) closing_code: Option<ResultCode>,
+    parting: Option<Parting>,
     database: Option<DatabaseId>,
     phase: Phase,
     /// Whether the socket has not been read to the end or messages were left in the codec.
@@ -76,7 +90,7 @@
             session: None,
             cancel_key: None,
             deadline_us: Some(now_us + STARTUP_LIMIT_US),
-            closing_code: None,
+            parting: None,
             database: None,
             phase: Phase::Startup,
             held_back: false,
@@ -109,21 +123,28 @@
         }
     }
 
-    /// Whether part of a request has arrived.
-    pub(super) fn has_partial_request(&self) -> bool {
-        self.codec.buffered_bytes() > 0
+    /// Has the caller disconnected after a pause.
+    pub(super) fn start_parting(&mut self, code: ResultCode, now_us: u64) {
+        let limit_us = now_us + PARTING_LIMIT_US;
+        self.parting.get_or_insert(Parting { code, limit_us });
+        self.deadline_us = Some(now_us + PARTING_DELAY_US);
     }
 
-    /// Waits for the rest of a request before the caller is disconnected.
-    pub(super) fn await_rest(&mut self, code: ResultCode, now_us: u64) {
-        self.closing_code = Some(code);
-        self.deadline_us = Some(now_us + REST_LIMIT_US);
+    /// Code to tell the caller that is to be disconnected now; `None` if it is to wait. Then there
+    /// may be a new deadline, for the rest of a request that has arrived in part.
+    pub(super) fn parting_code(&mut self, now_us: u64) -> Option<ResultCode> {
+        let parting = self.parting.filter(|_| !self.codec.is_in_flight())?;
+        if self.codec.buffered_bytes() > 0 && now_us < parting.limit_us {
+            self.deadline_us = Some(parting.limit_us);
+            return None;
+        }
+        Some(parting.code)
     }
 
     /// Takes nothing more from the caller and closes its connection once everything is written.
     pub(super) fn start_closing(&mut self, now_us: u64) {
         self.phase = Phase::Closing;
-        self.closing_code = None;
+        self.parting = None;
         self.deadline_us = Some(now_us + CLOSING_LIMIT_US);
     }
 
@@ -229,7 +250,7 @@
                 return Next::Cancel(CallerCancel { process_id, secret });
             }
             CallerMessage::Terminate => return Next::Close,
-            CallerMessage::Request(request) => self.submit(io, machine, rules, request),
+            CallerMessage::Request(request) => return self.submit(io, machine, rules, request),
             CallerMessage::EncryptionRequest { answer } | CallerMessage::LocalAnswer { answer } => {
                 self.stream.output.push(answer);
             }
@@ -254,10 +275,15 @@
         machine: &mut Driven<Traffic>,
         rules: &Rules,
         request: Request,
-    ) {
-        let (Some(caller), Some(database)) = (self.session, self.database) else { return };
+    ) -> Next {
+        let (Some(caller), Some(database)) = (self.session, self.database) else {
+            return Next::Close;
+        };
         io.metrics.requests.inc();
-        self.closing_code = None;
+        let is_idle = self.codec.status() == TransactionStatus::Idle;
+        if let Some(parting) = self.parting.filter(|it| is_idle && it.limit_us <= io.now_us) {
+            return Next::Refuse(parting.code);
+        }
         match rules.request(database, request, io.now_us) {
             Ok(request) => machine.push(Event::RequestReceived { caller, request }),
             Err(code) => {
@@ -267,19 +293,19 @@
                 self.stream.output.push(answer);
             }
         }
-    }
-
-    /// Code to tell the caller if the rest of a request has not arrived in time; `None` if the
-    /// connection is simply closed.
-    pub(super) fn overdue_code(&self) -> Option<ResultCode> {
-        if self.phase == Phase::Open { self.closing_code } else { None }
+        Next::Wait
     }
 
     /// Whether a deadline applies and has passed.
     pub(super) fn is_overdue(&self, now_us: u64) -> bool {
-        let applies = self.phase != Phase::Open || self.closing_code.is_some();
+        let applies = self.phase != Phase::Open || self.parting.is_some();
         applies && self.deadline_us.is_some_and(|deadline_us| deadline_us <= now_us)
     }
+
+    /// Whether the session is open and is to be ended.
+    pub(super) fn is_parting(&self) -> bool {
+        self.parting.is_some()
+    }
 }
 
 fn count_refusal(io: &IoContext, code: ResultCode) {
--- a/crates/daemon/src/traffic/perform.rs
+++ b/crates/daemon/src/traffic/perform.rs
@@ -21,7 +21,7 @@
             Action::Refuse { caller, code, status } => {
                 self.callers.refuse(io, machine, caller, code, status);
             }
-            Action::CloseCaller { caller, code } => self.callers.close(io, machine, caller, code),
+            Action::CloseCaller { caller, code } => self.callers.close(io, caller, code),
             Action::Send { host, request, message } => self.send(host, request, message),
             Action::OpenConnection { connection, instance } => self.open(connection, instance),
             Action::Execute { connection, work, payload, max_answer_bytes } => {
