Report the control machine's counters and refuse promotions elsewhere

flamingoctl asks proxies in turn for a planned change of primary and expects all but the owner to refuse, and it finds hosts by name in the status. The admin port now answers 409 if the proxy does not own the database, adds the name to the status, and shows the counters of the control machine in /metrics.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,5 +6,5 @@
 mod request;
 mod server;
 
-pub use request::AdminRequest;
+pub use request::{AdminRequest, PromotionRefusal};
 pub use server::{AdminParts, AdminServer};
--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -133,6 +133,9 @@
 
     fn metrics(&self) -> Reply {
         Statistics::publish(&self.statistics(), &self.parts.metrics);
+        if let Some(counters) = self.ask(AdminRequest::Counters) {
+            self.parts.metrics.set_control(&counters);
+        }
         Reply::metrics(self.parts.metrics.render())
     }
 
@@ -167,7 +170,7 @@
         let result = self.ask(|answer| AdminRequest::Promote { database, instance, answer });
         match result {
             Some(Ok(())) => Reply::text(202, "promotion requested"),
-            Some(Err(message)) => Reply::text(404, &message),
+            Some(Err(refusal)) => Reply::text(refusal.status(), &refusal.to_string()),
             None => no_answer(),
         }
     }
--- a/crates/daemon/src/control/take_mail.rs
+++ b/crates/daemon/src/control/take_mail.rs
@@ -3,7 +3,7 @@
 use flamingorock_core::control::{Event, StoreAnswer};
 
 use super::{ControlThread, Exit};
-use crate::admin::AdminRequest;
+use crate::admin::{AdminRequest, PromotionRefusal};
 use crate::mail::ControlMail;
 
 impl ControlThread {
@@ -39,9 +39,10 @@
                 let _ = answer.try_send(ready);
             }
             AdminRequest::Status(answer) => {
-                let status = self.machine.machine().status();
-                let json = serde_json::to_string(&status).unwrap_or_else(|error| error.to_string());
-                let _ = answer.try_send(json);
+                let _ = answer.try_send(self.status());
+            }
+            AdminRequest::Counters(answer) => {
+                let _ = answer.try_send(self.machine.machine().counters());
             }
             AdminRequest::Drain => {
                 if self.request_drain() {
@@ -54,13 +55,28 @@
         }
     }
 
-    fn request_promotion(&mut self, database: &str, instance: &str) -> Result<(), String> {
+    /// State of the machine and the host's name as JSON.
+    fn status(&self) -> String {
+        let status = serde_json::to_value(self.machine.machine().status());
+        let mut status = status.unwrap_or_else(|error| error.to_string().into());
+        if let Some(fields) = status.as_object_mut() {
+            fields.insert("name".to_owned(), self.name.clone().into());
+        }
+        status.to_string()
+    }
+
+    fn request_promotion(
+        &mut self,
+        database: &str,
+        instance: &str,
+    ) -> Result<(), PromotionRefusal> {
         let found = self.configuration.database_named(database);
-        let found = found.ok_or_else(|| format!("no database \"{database}\""))?;
+        let found = found.ok_or_else(|| PromotionRefusal::UnknownDatabase(database.to_owned()))?;
         let index = found.instances.iter().position(|candidate| candidate.name == instance);
         let index = index.and_then(|index| u8::try_from(index).ok());
         let instance_index =
-            index.ok_or_else(|| format!("no instance \"{instance}\" in \"{database}\""))?;
+            index.ok_or_else(|| PromotionRefusal::UnknownInstance(instance.to_owned()))?;
+        self.view.served_database(found.id).ok_or(PromotionRefusal::NotOwner)?;
         self.machine.push(Event::PromotionRequested { database: found.id, instance_index });
         Ok(())
     }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -30,6 +30,8 @@
 
 /// The control thread: its machine and its sockets.
 pub struct ControlThread {
+    /// Name of the host.
+    pub(super) name: String,
     pub(super) poller: Poller<ControlMail>,
     pub(super) io: IoContext,
     pub(super) machine: Driven<Control>,
@@ -75,6 +77,7 @@
         let hello = Hello::new(settings.host.id, LinkPurpose::Control);
         let drain_limit_us = u64::from(settings.drain.deadline_ms) * 1000;
         Ok(Self {
+            name: settings.host.name.clone(),
             poller,
             io: IoContext::new(registry, parts.clock, Arc::clone(&parts.metrics)),
             machine: Driven::new(parts.machine),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and gauges of the process. The table for operators is `docs/metrics.md`; a test
 //! compares it with [`NAMES`].
 
+use flamingorock_core::control::ControlCounters;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -94,6 +95,15 @@
     requests_running: Family<ThreadLabel, Gauge>, "requests_running", "Requests running on backend servers, by thread";
     requests_unconfirmed: Family<ThreadLabel, Gauge>, "requests_unconfirmed", "Answers that wait for a confirmation, by thread";
     transactions: Family<ThreadLabel, Gauge>, "transactions", "Open transactions in databases served here, by thread";
+    control_suspicions: Counter, "control_suspicions", "Proxies suspected dead";
+    control_claims: Counter, "control_claims", "Ownerships claimed through the key-value service";
+    control_takeovers: Counter, "control_takeovers", "Ownerships taken over with a reserved epoch";
+    control_step_downs: Counter, "control_step_downs", "Ownerships lost to a higher epoch";
+    control_primaries_lost: Counter, "control_primaries_lost", "Primaries declared lost";
+    control_promotions: Counter, "control_promotions", "Primaries promoted";
+    control_handover_offers: Counter, "control_handover_offers", "Databases offered to their standby";
+    control_stalls: Counter, "control_stalls", "Delays of this process long enough to distort its view of other hosts";
+    control_configurations_refused: Counter, "control_configurations_refused", "Configuration documents refused because they do not parse";
     rank_good: Family<RankLabel, Counter>, "rank_good", "Requests answered within the target latency, by rank";
     rank_slow: Family<RankLabel, Counter>, "rank_slow", "Requests answered later than the target latency, by rank";
     rank_unknown: Family<RankLabel, Counter>, "rank_unknown", "Requests with unknown outcome, by rank";
@@ -105,6 +115,24 @@
 }
 
 impl Metrics {
+    /// Takes over the counters of the control machine, which only rise.
+    pub fn set_control(&self, counters: &ControlCounters) {
+        let values = [
+            (&self.control_suspicions, counters.suspicions),
+            (&self.control_claims, counters.claims),
+            (&self.control_takeovers, counters.takeovers),
+            (&self.control_step_downs, counters.step_downs),
+            (&self.control_primaries_lost, counters.primaries_lost),
+            (&self.control_promotions, counters.promotions),
+            (&self.control_handover_offers, counters.handover_offers),
+            (&self.control_stalls, counters.stalls),
+            (&self.control_configurations_refused, counters.configurations_refused),
+        ];
+        for (counter, value) in values {
+            counter.inc_by(value.saturating_sub(counter.get()));
+        }
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn render(&self) -> String {
