--- /dev/null
+++ b/crates/daemon/tests/fleet/failures.rs
@@ -0,0 +1,151 @@
+//! Loss of proxies and instances while callers work.
+
+use crate::support::{DATABASE, Fleet, Proxy, TABLE, wait_for};
+
+/// Writes a payment, and tries again until a write is acknowledged.
+fn write_until_acknowledged(proxy: &Proxy, id: i32) {
+    wait_for("an acknowledged write", || {
+        let mut client = proxy.try_connect(DATABASE).map_err(|error| format!("{error:?}"))?;
+        let insert = format!("INSERT INTO payments VALUES ({id}, 1)");
+        client.execute(&insert, &[]).map(drop).map_err(|error| format!("{error:?}"))
+    });
+}
+
+/// Waits until a number of statements run in a fleet.
+fn wait_until_running(fleet: &Fleet, count: f64) {
+    let running = || fleet.proxies.iter().map(|it| it.metric("flamingorock_requests_running"));
+    wait_for("running statements", || match running().sum::<f64>() {
+        found if found == count => Ok(()),
+        found => Err(format!("{found} running")),
+    });
+}
+
+/// Waits until a proxy that was told to shut down shows it.
+fn wait_until_draining(proxy: &Proxy) {
+    wait_for("the start of the shutdown", || match proxy.http("GET", "/ready", "", "").0 {
+        503 => Ok(()),
+        other => Err(format!("status {other}")),
+    });
+}
+
+fn amount_of(proxy: &Proxy, id: i32) -> usize {
+    wait_for("an answered read", || {
+        let mut client = proxy.try_connect(DATABASE).map_err(|error| format!("{error:?}"))?;
+        let select = format!("SELECT amount FROM payments WHERE id = {id}");
+        client.query(&select, &[]).map(|rows| rows.len()).map_err(|error| format!("{error:?}"))
+    })
+}
+
+/// Guards against a database that takes no writes after the loss of its primary, and against the
+/// loss of a write that was acknowledged before.
+#[test]
+fn writes_go_on_after_the_primary_is_killed() {
+    let mut fleet = Fleet::start(2);
+    fleet.proxies[0].connect(DATABASE).batch_execute(TABLE).expect("the table");
+    write_until_acknowledged(&fleet.proxies[0], 1);
+    let primary = fleet.primary();
+    drop(fleet.instances[primary].take().map(flamingorock_standin::Database::stop));
+    write_until_acknowledged(&fleet.proxies[1], 2);
+    assert_ne!(fleet.primary(), primary);
+    for proxy in &fleet.proxies {
+        assert!(amount_of(proxy, 1) >= 1, "the first write is kept");
+        assert!(amount_of(proxy, 2) >= 1, "the second write is kept");
+    }
+}
+
+/// Guards against a database that is not served after the loss of its owner.
+#[test]
+fn writes_go_on_after_the_owner_is_killed() {
+    let mut fleet = Fleet::start(3);
+    fleet.proxies[0].connect(DATABASE).batch_execute(TABLE).expect("the table");
+    write_until_acknowledged(&fleet.proxies[0], 1);
+    let owner = fleet.owner();
+    fleet.proxies[owner].kill();
+    for (index, proxy) in fleet.proxies.iter().enumerate().filter(|(index, _)| *index != owner) {
+        let id = 10 + i32::try_from(index).expect("few proxies");
+        write_until_acknowledged(proxy, id);
+        assert!(amount_of(proxy, 1) >= 1, "the first write is kept");
+        assert!(amount_of(proxy, id) >= 1, "the later write is kept");
+    }
+}
+
+/// Guards against a shutdown that cuts a running statement, on the proxy that the caller is connected
+/// to or on the owner, and against a process that does not end.
+#[test]
+fn a_shutdown_cuts_no_running_statement() {
+    for terminated in 0..2 {
+        let mut fleet = Fleet::start(2);
+        let mut callers = Vec::new();
+        for proxy in &fleet.proxies {
+            let mut client = proxy.connect(DATABASE);
+            callers.push(std::thread::spawn(move || client.simple_query("SELECT pg_sleep(1)")));
+        }
+        wait_until_running(&fleet, 2.0);
+        fleet.proxies[terminated].terminate();
+        for caller in callers {
+            caller.join().expect("the thread").expect("the answer");
+        }
+        let status = fleet.proxies[terminated].wait_for_exit();
+        assert!(status.success(), "{status}");
+        fleet.wait_until_served(&fleet.proxies[1 - terminated]);
+    }
+}
+
+/// Guards against a transaction that a shutdown ends between its statements.
+#[test]
+fn a_shutdown_lets_open_transactions_finish() {
+    let mut fleet = Fleet::start(2);
+    fleet.proxies[0].connect(DATABASE).batch_execute(TABLE).expect("the table");
+    let owner = fleet.owner();
+    let mut client = fleet.proxies[owner].connect(DATABASE);
+    let mut transaction = client.transaction().expect("a transaction");
+    transaction.execute("INSERT INTO payments VALUES (1, 1)", &[]).expect("the payment");
+    fleet.proxies[owner].terminate();
+    wait_until_draining(&fleet.proxies[owner]);
+    transaction.execute("INSERT INTO payments VALUES (2, 1)", &[]).expect("the second payment");
+    transaction.commit().expect("the commit");
+    let status = fleet.proxies[owner].wait_for_exit();
+    assert!(status.success(), "{status}");
+    assert!(amount_of(&fleet.proxies[1 - owner], 2) >= 1, "the transaction is kept");
+}
+
+/// Guards against a primary that stays on a leaving host.
+#[test]
+fn the_primary_moves_away_from_a_leaving_host() {
+    let fleet = Fleet::start(1);
+    let primary = fleet.primary();
+    fleet.mark_leaving(primary);
+    wait_for("another primary", || match fleet.primary() {
+        found if found == primary => Err("still the same".to_owned()),
+        _ => Ok(()),
+    });
+    fleet.wait_until_served(&fleet.proxies[0]);
+}
+
+/// Guards against a shutdown that cuts a running statement because no other proxy can take over.
+#[test]
+fn a_shutdown_of_the_only_proxy_cuts_no_running_statement() {
+    let mut fleet = Fleet::start(1);
+    let mut client = fleet.proxies[0].connect(DATABASE);
+    let caller = std::thread::spawn(move || client.simple_query("SELECT pg_sleep(1)"));
+    wait_until_running(&fleet, 1.0);
+    fleet.proxies[0].terminate();
+    caller.join().expect("the thread").expect("the answer");
+    let status = fleet.proxies[0].wait_for_exit();
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a process that a second signal does not end.
+#[test]
+fn a_second_signal_ends_the_process_at_once() {
+    let mut fleet = Fleet::start(2);
+    let owner = fleet.owner();
+    let mut client = fleet.proxies[owner].connect(DATABASE);
+    let caller = std::thread::spawn(move || client.simple_query("SELECT pg_sleep(60)"));
+    wait_until_running(&fleet, 1.0);
+    fleet.proxies[owner].terminate();
+    wait_until_draining(&fleet.proxies[owner]);
+    fleet.proxies[owner].terminate();
+    fleet.proxies[owner].wait_for_exit();
+    assert!(caller.join().expect("the thread").is_err(), "the statement was cut");
+}
