Try listeners again when the system is short of resources

An answer larger than a frame is replaced by a refusal of unknown outcome instead of being dropped, since services may allow answers of up to 1 GiB.

--- a/crates/daemon/src/control/heartbeat_socket.rs
+++ b/crates/daemon/src/control/heartbeat_socket.rs
@@ -65,8 +65,8 @@
                     }
                 },
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
-                // An earlier datagram was refused by its receiver's host; it says nothing about what
-                // has arrived.
+                // An earlier datagram was refused by its receiver's host; it says nothing about
+                // what has arrived.
                 Err(_) => {}
             }
         }
--- a/crates/daemon/src/control/perform.rs
+++ b/crates/daemon/src/control/perform.rs
@@ -46,7 +46,8 @@
         let database_name = found.map(|database| database.name.clone());
         let deadline = Instant::now() + self.io.clock.until(deadline_us);
         if self.store.submit(StoreJob { call, operation, database_name, deadline }).is_err() {
-            // A full queue means that the service is slow; the machine tries again after its backoff.
+            // A full queue means that the service is slow; the machine tries again after its
+            // backoff.
             self.machine.push(Event::StoreAnswered { call, answer: StoreAnswer::Failed });
         }
     }
--- a/crates/daemon/src/control/view_publisher.rs
+++ b/crates/daemon/src/control/view_publisher.rs
@@ -7,8 +7,8 @@
 use crate::mail::TrafficMail;
 use crate::mailbox::MailSender;
 
-/// Publishes views to the traffic threads. A thread whose mailbox is full gets the newest view later
-/// and never sees the ones in between: a view replaces all earlier ones.
+/// Publishes views to the traffic threads. A thread whose mailbox is full gets the newest view
+/// later and never sees the ones in between: a view replaces all earlier ones.
 #[derive(Debug)]
 pub struct ViewPublisher {
     threads: Vec<(MailSender<TrafficMail>, Option<Arc<View>>)>,
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -7,4 +7,4 @@
 
 pub use incoming_links::{IncomingLinks, LinkEnd};
 pub use link_loss::LinkLoss;
-pub use outgoing_links::OutgoingLinks;
+pub use outgoing_links::{NotSent, OutgoingLinks};
--- a/crates/daemon/src/links/incoming_links.rs
+++ b/crates/daemon/src/links/incoming_links.rs
@@ -11,13 +11,14 @@
 
 use crate::io_context::IoContext;
 use crate::net::{
-    IncomingLinkKey, PEER_SILENCE, READ_BUDGET_BYTES, ReadOutcome, Stream, set_stream_options,
+    IncomingLinkKey, PEER_SILENCE, READ_BUDGET_BYTES, ReadOutcome, Stream, accept_all,
+    set_stream_options,
 };
 
 /// Time until a link's first frame must have arrived.
 const HELLO_LIMIT_US: u64 = 10_000_000;
 
-/// Links that have not introduced themselves. Bounds what strangers can occupy.
+/// Links at a time, those of strangers included: several for each of 500 hosts.
 const LINKS_LIMIT: usize = 4096;
 
 #[derive(Debug)]
@@ -50,14 +51,14 @@
         Self { hosts, links: Arena::new() }
     }
 
-    /// Accepts the links that wait at a listener.
-    pub fn accept(&mut self, io: &mut IoContext, listener: &TcpListener) {
-        while let Ok((tcp, _)) = listener.accept() {
+    /// Accepts the links that wait at a listener. Returns whether to try again later.
+    pub fn accept(&mut self, io: &mut IoContext, listener: &TcpListener) -> bool {
+        accept_all(listener, |tcp| {
             if self.links.len() < LINKS_LIMIT {
                 // A connection that breaks at once costs only itself.
                 let _ = self.add(io, tcp);
             }
-        }
+        })
     }
 
     fn add(&mut self, io: &mut IoContext, tcp: TcpStream) -> std::io::Result<()> {
--- a/crates/daemon/src/links/outgoing_links.rs
+++ b/crates/daemon/src/links/outgoing_links.rs
@@ -15,7 +15,8 @@
 /// Time to establish a link.
 const CONNECT_LIMIT_US: u64 = 1_000_000;
 
-/// Bytes that wait for a slow host before the link is given up. The largest frame fits several times.
+/// Bytes that wait for a slow host before the link is given up. The largest frame fits several
+/// times.
 const OUTPUT_LIMIT_BYTES: usize = 128 * 1024 * 1024;
 
 /// A link to another proxy. `R` identifies requests whose loss is reported one by one.
@@ -46,8 +47,8 @@
         Self { hello, addresses, links: Arena::new(), by_host: HashMap::new() }
     }
 
-    /// Queues a message and opens a link if there is none. On an error, no byte of the message is or
-    /// will be written.
+    /// Queues a message and opens a link if there is none. On an error, no byte of the message is
+    /// or will be written.
     pub fn send<M: FrameBody>(
         &mut self,
         io: &mut IoContext,
@@ -57,16 +58,16 @@
     ) -> Result<(), NotSent> {
         let key = match self.by_host.get(&host) {
             Some(&key) => key,
-            None => self.open(io, host).map_err(|_| NotSent)?,
+            None => self.open(io, host).map_err(|_| NotSent::Unreachable)?,
         };
-        let link = self.links.get_mut(key).ok_or(NotSent)?;
+        let link = self.links.get_mut(key).ok_or(NotSent::Unreachable)?;
         let start_bytes = link.stream.output.end_offset_bytes();
         let tail = link.stream.output.tail_mut();
         let tail_bytes = tail.len();
-        encode_frame(message, tail).map_err(|_| NotSent)?;
+        encode_frame(message, tail).map_err(|_| NotSent::TooLarge)?;
         if link.stream.output.check().is_err() {
             link.stream.output.tail_mut().truncate(tail_bytes);
-            return Err(NotSent);
+            return Err(NotSent::Unreachable);
         }
         link.unwritten.extend(request.map(|request| (start_bytes, request)));
         io.dirty.push(key.into());
@@ -189,6 +190,11 @@
     }
 }
 
-/// The message was not sent; no byte of it was written.
+/// Why a message was not sent. No byte of it was written.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NotSent;
+pub enum NotSent {
+    /// There is no link to the host, or it does not take its data.
+    Unreachable,
+    /// The message is larger than a frame.
+    TooLarge,
+}
--- a/crates/daemon/src/mailbox.rs
+++ b/crates/daemon/src/mailbox.rs
@@ -23,8 +23,8 @@
     pub fn try_send(&self, item: T) -> Result<(), T> {
         match self.channel.try_send(item) {
             Ok(()) => {
-                // A failed wake-up leaves the item in the channel until the next one; the only known
-                // cause is a counter at its maximum, which itself wakes the receiver.
+                // A failed wake-up leaves the item in the channel until the next one; the only
+                // known cause is a counter at its maximum, which itself wakes the receiver.
                 let _ = self.waker.wake();
                 Ok(())
             }
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Sends and waits for room. Only for threads that nothing waits for, such as the store threads.
-    /// Returns `false` if the receiver has ended.
+    /// Sends and waits for room. Only for threads that nothing waits for, such as the store
+    /// threads. Returns `false` if the receiver has ended.
     pub fn send(&self, item: T) -> bool {
         let sent = self.channel.send(item).is_ok();
         let _ = self.waker.wake();
--- a/crates/daemon/src/monitors/monitor.rs
+++ b/crates/daemon/src/monitors/monitor.rs
@@ -18,8 +18,8 @@
 const OUTPUT_LIMIT_BYTES: usize = 64 * 1024;
 
 /// Time without calls after which a connection is closed, so that a former owner does not occupy
-/// connections of an instance. Longer than the pauses between the requests of a quiet database, since
-/// a new connection costs about 12 ms.
+/// connections of an instance. Longer than the pauses between the requests of a quiet database,
+/// since a new connection costs about 12 ms.
 const IDLE_LIMIT_US: u64 = 10_000_000;
 
 /// User of all connections to backend servers.
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -1,5 +1,6 @@
 //! Sockets, buffers and deadlines that all I/O threads share.
 
+mod accept;
 mod connect_state;
 mod deadlines;
 mod options;
@@ -7,6 +8,7 @@
 mod stream;
 mod write_buffer;
 
+pub use accept::{ACCEPT_RETRY_US, accept_all};
 pub use connect_state::is_connected;
 pub use deadlines::Deadlines;
 pub use options::{CALLER_SILENCE, PEER_SILENCE, bind_udp, connect, listen, set_stream_options};
--- a/crates/daemon/src/outbox.rs
+++ b/crates/daemon/src/outbox.rs
@@ -4,9 +4,9 @@
 
 use crate::mailbox::MailSender;
 
-/// Sends in order without waiting and without loss: what does not fit the receiver's mailbox is kept
-/// and sent at the next flush. Traffic threads hold at most one message for each request in flight,
-/// and requests are bounded by the callers and by the queues of the owners.
+/// Sends in order without waiting and without loss: what does not fit the receiver's mailbox is
+/// kept and sent at the next flush. Traffic threads hold at most one message for each request in
+/// flight, and requests are bounded by the callers and by the queues of the owners.
 #[derive(Debug)]
 pub struct Outbox<T> {
     sender: MailSender<T>,
--- a/crates/daemon/src/poller.rs
+++ b/crates/daemon/src/poller.rs
@@ -50,8 +50,8 @@
         self.poll.registry().try_clone()
     }
 
-    /// Waits for events, at most until a deadline if there is one, and returns the tokens of what is
-    /// ready.
+    /// Waits for events, at most until a deadline if there is one, and returns the tokens of what
+    /// is ready.
     pub fn wait(&mut self, clock: Clock, deadline_us: Option<u64>, ready: &mut Vec<Token>) {
         ready.clear();
         let timeout = deadline_us.map(|deadline_us| clock.until(deadline_us));
--- a/crates/daemon/src/traffic/backends/backend.rs
+++ b/crates/daemon/src/traffic/backends/backend.rs
@@ -107,7 +107,8 @@
                     return Err(Lost(ConnectionLoss::AnswerTooLarge));
                 }
                 Err(error) => {
-                    tracing::debug!(address = %self.address, %error, "backend server connection closed");
+                    let address = self.address;
+                    tracing::debug!(%address, %error, "backend server connection closed");
                     return Err(Lost(self.loss()));
                 }
             }
--- a/crates/daemon/src/traffic/callers.rs
+++ b/crates/daemon/src/traffic/callers.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod parting;
 mod rules;
 
 use std::collections::HashMap;
@@ -20,7 +21,7 @@
 use crate::driven::Driven;
 use crate::io_context::IoContext;
 use crate::metrics::CodeLabel;
-use crate::net::{CALLER_SILENCE, CallerSocketKey, set_stream_options};
+use crate::net::{CALLER_SILENCE, CallerSocketKey, accept_all, set_stream_options};
 use caller::{Caller, Next};
 use rules::Rules;
 
@@ -56,14 +57,14 @@
         self.sockets.is_empty()
     }
 
-    /// Accepts the callers that wait at a listener.
-    pub fn accept(&mut self, io: &mut IoContext, listener: &TcpListener) {
-        while let Ok((tcp, _)) = listener.accept() {
+    /// Accepts the callers that wait at a listener. Returns whether to try again later.
+    pub fn accept(&mut self, io: &mut IoContext, listener: &TcpListener) -> bool {
+        accept_all(listener, |tcp| {
             if self.sockets.len() < self.callers_limit as usize + SPARE_SOCKETS {
                 // A connection that breaks at once costs only itself.
                 let _ = self.add(io, tcp);
             }
-        }
+        })
     }
 
     fn add(&mut self, io: &mut IoContext, tcp: TcpStream) -> std::io::Result<()> {
--- a/crates/daemon/src/traffic/callers/answers.rs
+++ b/crates/daemon/src/traffic/callers/answers.rs
@@ -61,8 +61,8 @@
         self.carry_on(io, machine, key, next);
     }
 
-    /// Closes a caller's connection at a transaction boundary, after a pause. A request that arrives
-    /// by then is taken in; the machine closes the caller again after the answer.
+    /// Closes a caller's connection at a transaction boundary, after a pause. A request that
+    /// arrives by then is taken in; the machine closes the caller again after the answer.
     pub fn close(&mut self, io: &mut IoContext, session: CallerKey, code: ResultCode) {
         let now_us = io.now_us;
         let Some((key, caller)) = self.find(session) else { return };
--- a/crates/daemon/src/traffic/callers/caller.rs
+++ b/crates/daemon/src/traffic/callers/caller.rs
@@ -9,6 +9,7 @@
 use mio::Token;
 use mio::net::TcpStream;
 
+use super::parting::Parting;
 use super::rules::Rules;
 use crate::driven::Driven;
 use crate::io_context::IoContext;
@@ -18,14 +19,6 @@
 /// Time until the startup message must have arrived.
 const STARTUP_LIMIT_US: u64 = 10_000_000;
 
-/// Time between the last answer and the disconnection of a caller. Some drivers report an error that
-/// follows an answer at once instead of the answer.
-const PARTING_DELAY_US: u64 = 100_000;
-
-/// Time during which a caller that is to be disconnected still gets its requests answered, and in
-/// which the rest of a request may arrive.
-const PARTING_LIMIT_US: u64 = 2_000_000;
-
 /// Time that the caller gets to read the last answer and to close its side.
 const CLOSING_LIMIT_US: u64 = 2_000_000;
 
@@ -51,14 +44,6 @@
     Close,
 }
 
-/// A disconnection that is due.
-#[derive(Clone, Copy, Debug)]
-struct Parting {
-    code: ResultCode,
-    /// From when on requests are refused.
-    limit_us: u64,
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Startup,
@@ -114,8 +99,8 @@
         Ok(())
     }
 
-    /// Puts the rules of a new configuration into force. Without the database the old ones stay; the
-    /// machine refuses the requests.
+    /// Puts the rules of a new configuration into force. Without the database the old ones stay;
+    /// the machine refuses the requests.
     pub(super) fn apply_rules(&mut self, rules: &Rules) {
         if let Some(rules) = self.database.and_then(|database| rules.of(database)) {
             self.codec.set_rules(std::sync::Arc::clone(&rules.ranks), rules.limits);
@@ -125,17 +110,18 @@
 
     /// Has the caller disconnected after a pause.
     pub(super) fn start_parting(&mut self, code: ResultCode, now_us: u64) {
-        let limit_us = now_us + PARTING_LIMIT_US;
-        self.parting.get_or_insert(Parting { code, limit_us });
-        self.deadline_us = Some(now_us + PARTING_DELAY_US);
+        self.parting.get_or_insert(Parting::new(code, now_us));
+        self.deadline_us = Some(Parting::deadline_us(now_us));
     }
 
     /// Code to tell the caller that is to be disconnected now; `None` if it is to wait. Then there
     /// may be a new deadline, for the rest of a request that has arrived in part.
     pub(super) fn parting_code(&mut self, now_us: u64) -> Option<ResultCode> {
         let parting = self.parting.filter(|_| !self.codec.is_in_flight())?;
-        if self.codec.buffered_bytes() > 0 && now_us < parting.limit_us {
-            self.deadline_us = Some(parting.limit_us);
+        if self.codec.buffered_bytes() > 0
+            && let Some(deadline_us) = parting.rest_deadline_us(now_us)
+        {
+            self.deadline_us = Some(deadline_us);
             return None;
         }
         Some(parting.code)
@@ -281,7 +267,7 @@
         };
         io.metrics.requests.inc();
         let is_idle = self.codec.status() == TransactionStatus::Idle;
-        if let Some(parting) = self.parting.filter(|it| is_idle && it.limit_us <= io.now_us) {
+        if let Some(parting) = self.parting.filter(|it| is_idle && it.refuses(io.now_us)) {
             return Next::Refuse(parting.code);
         }
         match rules.request(database, request, io.now_us) {
--- a/crates/daemon/src/traffic/perform.rs
+++ b/crates/daemon/src/traffic/perform.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use flamingorock_core::control::GroupOperation;
-use flamingorock_core::message::TrafficMessage;
+use flamingorock_core::message::{Outcome, TrafficMessage};
 use flamingorock_core::traffic::{Action, ConnectionLoss, Event};
-use flamingorock_core::{ConnectionKey, HostId, InstanceId, RequestKey, View};
+use flamingorock_core::{ConnectionKey, HostId, InstanceId, RequestKey, ResultCode, View};
 
 use super::{Statistics, TrafficThread};
+use crate::links::NotSent;
 use crate::mail::{ControlMail, TrafficMail};
 use crate::monitors::{Call, MonitorTarget};
 
@@ -50,10 +51,21 @@
         if host == self.config.host {
             return self.pass_on(host, message);
         }
-        if self.outgoing.send(&mut self.io, host, &message, request).is_err()
-            && let Some(request) = request
-        {
-            self.machine.push(Event::SendFailed { host, request });
+        match (self.outgoing.send(&mut self.io, host, &message, request), request) {
+            (Err(_), Some(request)) => self.machine.push(Event::SendFailed { host, request }),
+            (Err(NotSent::TooLarge), None) => self.send_without_answer(host, message),
+            // A lost link costs the entry proxy its answers; it is told by its own link or deadline.
+            (Err(NotSent::Unreachable), None) | (Ok(()), _) => {}
+        }
+    }
+
+    /// Replaces an answer that is larger than a frame, so that the entry proxy does not wait for it.
+    fn send_without_answer(&mut self, host: HostId, message: TrafficMessage) {
+        if let TrafficMessage::Answer { database, entry_thread, request, .. } = message {
+            let outcome = Outcome::Refused { code: ResultCode::LargeAnswerLost };
+            let message = TrafficMessage::Answer { database, entry_thread, request, outcome };
+            // As above, a lost link is noticed elsewhere.
+            let _ = self.outgoing.send(&mut self.io, host, &message, None);
         }
     }
 
--- a/crates/daemon/src/traffic/statistics.rs
+++ b/crates/daemon/src/traffic/statistics.rs
@@ -67,8 +67,8 @@
     let raise = |family: &Family<RankLabel, Counter>, value: fn(&RankCounters) -> u64| {
         let total: u64 = ranks.iter().map(|counters| value(counters)).sum();
         let counter = family.get_or_create(label);
-        // The machines' counters only rise. A thread that was too busy to answer is missing from the
-        // total, and the metric stays until it answers.
+        // The machines' counters only rise. A thread that was too busy to answer is missing from
+        // the total, and the metric stays until it answers.
         counter.inc_by(total.saturating_sub(counter.get()));
     };
     raise(&metrics.rank_good, |counters| counters.good);
--- a/crates/daemon/src/traffic/thread.rs
+++ b/crates/daemon/src/traffic/thread.rs
@@ -17,7 +17,7 @@
 use crate::mail::{ControlMail, TrafficMail};
 use crate::metrics::ThreadLabel;
 use crate::monitors::Monitors;
-use crate::net::{SocketTable, listen};
+use crate::net::{ACCEPT_RETRY_US, SocketTable, listen};
 use crate::poller::Poller;
 
 const CALLERS: Token = Token(1);
@@ -142,7 +142,7 @@
         for &token in &ready {
             match token {
                 CALLERS => self.accept_callers(),
-                PEERS => self.incoming.accept(&mut self.io, &self.peer_listener),
+                PEERS => self.accept_peers(),
                 _ => self.take_socket(token),
             }
         }
@@ -151,7 +151,19 @@
 
     fn accept_callers(&mut self) {
         if let Some(listener) = &self.caller_listener {
-            self.callers.accept(&mut self.io, listener);
+            let retry = self.callers.accept(&mut self.io, listener);
+            self.retry_accept(retry, CALLERS);
+        }
+    }
+
+    fn accept_peers(&mut self) {
+        let retry = self.incoming.accept(&mut self.io, &self.peer_listener);
+        self.retry_accept(retry, PEERS);
+    }
+
+    fn retry_accept(&mut self, retry: bool, listener: Token) {
+        if retry {
+            self.io.deadlines.add(self.io.now_us + ACCEPT_RETRY_US, listener);
         }
     }
 
@@ -210,7 +222,8 @@
                     self.report_loss(loss);
                 }
                 Some(SocketTable::Cancels) => self.cancels.expire(&mut self.io, token),
-                None => {}
+                None if token == CALLERS => self.accept_callers(),
+                None => self.accept_peers(),
             }
         }
     }
--- a/crates/daemon/tests/fleet/end_to_end.rs
+++ b/crates/daemon/tests/fleet/end_to_end.rs
@@ -1,6 +1,6 @@
 //! Callers' statements through real proxy processes to stand-ins of the database.
 
-use crate::support::{DATABASE, Fleet, TABLE};
+use crate::support::{DATABASE, Fleet, TABLE, wait_for};
 use flamingorock_core::burn::BurnReport;
 use postgres::error::SqlState;
 
@@ -22,8 +22,8 @@
     assert!(normal.total.good + normal.total.slow >= 3, "{normal:?}");
 }
 
-/// Guards against a session that does not see, through one proxy, what another has acknowledged, and
-/// against statements that are lost on the link between an entry proxy and the owner.
+/// Guards against a session that does not see, through one proxy, what another has acknowledged,
+/// and against statements that are lost on the link between an entry proxy and the owner.
 #[test]
 fn a_write_through_one_proxy_is_read_through_the_others() {
     let fleet = Fleet::start(3);
@@ -159,3 +159,19 @@
         assert_eq!(error.code(), Some(&SqlState::QUERY_CANCELED), "{error:?}");
     });
 }
+
+/// Guards against a proxy that stays with an old configuration. There are more proxies than hold a
+/// watch on the store, so that the document also passes from proxy to proxy.
+#[test]
+fn a_configuration_comes_into_force_everywhere() {
+    let fleet = Fleet::start(5);
+    fleet.apply(2);
+    for proxy in &fleet.proxies {
+        wait_for("the new configuration", || {
+            match proxy.metric("flamingorock_configuration_version") {
+                2.0 => Ok(()),
+                other => Err(format!("version {other} at host {}", proxy.id)),
+            }
+        });
+    }
+}
--- a/crates/daemon/tests/fleet/failures.rs
+++ b/crates/daemon/tests/fleet/failures.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Guards against a shutdown that cuts a running statement, on the proxy that the caller is connected
-/// to or on the owner, and against a process that does not end.
+/// Guards against a shutdown that cuts a running statement, on the proxy that the caller is
+/// connected to or on the owner, and against a process that does not end.
 #[test]
 fn a_shutdown_cuts_no_running_statement() {
     for terminated in 0..2 {
--- a/crates/daemon/tests/fleet/support.rs
+++ b/crates/daemon/tests/fleet/support.rs
@@ -91,15 +91,15 @@
         let instances: Vec<_> = (1..=3).map(start).collect();
         let proxies = proxy::start_all(proxy_count, threads, &store, &host_list);
         let fleet = Self { proxies, instances, store, host_list };
-        fleet.apply(0, 1);
+        fleet.apply(1);
         for proxy in &fleet.proxies {
             fleet.wait_until_served(proxy);
         }
         fleet
     }
 
-    /// Puts the configuration into the key-value service.
-    pub fn apply(&self, index: u64, version: u64) {
+    /// Puts the configuration into the key-value service under a new version.
+    pub fn apply(&self, version: u64) {
         let value = serde_json::json!({
             "version": version,
             "apply_id": format!("test-{version}"),
@@ -109,12 +109,9 @@
         });
         let store = ConsulStore::new(&format!("http://{}", self.store.address()));
         let deadline = Instant::now() + WAIT_LIMIT;
-        let swap = store.compare_and_swap(
-            "flamingorock/config",
-            index,
-            value.to_string().as_bytes(),
-            deadline,
-        );
+        let key = "flamingorock/config";
+        let index = store.get(key, deadline).expect("the store answers").index;
+        let swap = store.compare_and_swap(key, index, value.to_string().as_bytes(), deadline);
         assert!(matches!(swap, Ok(Swap::Done)), "the configuration is written: {swap:?}");
     }
 
--- a/crates/daemon/tests/fleet/support/proxy.rs
+++ b/crates/daemon/tests/fleet/support/proxy.rs
@@ -82,7 +82,8 @@
         self.try_connect(database).expect("the proxy accepts the caller")
     }
 
-    /// Sends a request with the key to the admin port. Returns status and body, 0 if nobody answers.
+    /// Sends a request with the key to the admin port. Returns status and body, 0 if nobody
+    /// answers.
     pub fn admin(&self, method: &str, path: &str, body: &str) -> (u16, String) {
         self.http(method, path, &format!("Authorization: Bearer {ADMIN_KEY}\r\n"), body)
     }
--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -2,7 +2,8 @@
 
 use flamingorockd::METRIC_NAMES;
 
-/// Guards against a metric that operators cannot look up, and against a documented one that is gone.
+/// Guards against a metric that operators cannot look up, and against a documented one that is
+/// gone.
 #[test]
 fn every_metric_is_documented() {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/metrics.md");
