Move a primary off a leaving host again as soon as it is there

Cause: after any planned promotion the next move away from a leaving host waited 30 s, also when the first had succeeded. If the new primary's host left as well, or a lost primary was replaced by an instance on a leaving host, the database took no work for that time. Change: the delay holds only while the primary stays where it is, and is 2 s.

--- a/crates/core/src/control/systems/fencing.rs
+++ b/crates/core/src/control/systems/fencing.rs
@@ -123,6 +123,9 @@
     let InstanceId { database, index } = instance;
     let Some(owned) = tables.owned.get_mut(&database) else { return };
     owned.phase = Phase::Open { primary: index };
+    if owned.last_primary != Some(index) {
+        owned.next_evacuation_us = now_us;
+    }
     owned.last_primary = Some(index);
     owned.excluded = None;
     owned.wanted = None;
--- a/crates/core/src/control/systems/planned_promotion.rs
+++ b/crates/core/src/control/systems/planned_promotion.rs
@@ -6,8 +6,9 @@
 
 /// Time that the wanted instance gets to reach the primary's position once nothing runs any more.
 const CATCH_UP_US: u64 = 5_000_000;
-/// Delay before the primary on a leaving host is moved again if an attempt did not move it.
-const EVACUATION_RETRY_US: u64 = 30_000_000;
+/// Delay before the primary on a leaving host is moved again if an attempt did not move it. It gets
+/// no new work meanwhile.
+const EVACUATION_RETRY_US: u64 = 2_000_000;
 /// Delay before an instance is looked for again that can replace the primary on a leaving host.
 const EVACUATION_RECHECK_US: u64 = 1_000_000;
 
@@ -62,7 +63,7 @@
         tables.log(StateChange::PromotionAbandoned { database, reason });
         return;
     }
-    // Whatever comes of it, the next attempt for a leaving host waits.
+    // If the primary stays where it is, the next attempt for a leaving host waits.
     owned.next_evacuation_us = tables.now_us + EVACUATION_RETRY_US;
     owned.transfer = Some(Transfer::Promotion { wanted, limit_us, quiescent_at_us: None });
     tables.view_changed = true;
--- a/crates/core/tests/control_promotion.rs
+++ b/crates/core/tests/control_promotion.rs
@@ -221,6 +221,24 @@
     insta::assert_snapshot!(simulation.take_log());
 }
 
+/// Guards against a primary that stays without work on a leaving host because another one has just
+/// been moved away from such a host.
+#[test]
+fn backend_servers_leave_one_after_the_other() {
+    let mut simulation = settled(1, "ledger-1");
+    let (_, served) = simulation.server("ledger-1").unwrap();
+    let name = |index: u8| format!("ledger-1-{}", ["a", "b", "c"][usize::from(index)]);
+    let first = served.primary_index.unwrap();
+    simulation.list_leaving(&[&name(first)]);
+    let has_left = |s: &Simulation, left: &[u8]| {
+        s.server("ledger-1").is_some_and(|(_, now)| !left.contains(&now.primary_index.unwrap()))
+    };
+    simulation.measure(GAP_TARGET_US, |s| has_left(s, &[first]));
+    let second = simulation.server("ledger-1").unwrap().1.primary_index.unwrap();
+    simulation.list_leaving(&[&name(first), &name(second)]);
+    simulation.measure(GAP_TARGET_US, |s| has_left(s, &[first, second]));
+}
+
 /// Guards against an instance on a leaving host that the platform's list knows by address only.
 #[test]
 fn leaving_host_matched_by_address() {
