Let a host in a minority of the fleet claim late

Change: a host that hears no majority of the fleet claims after 8 s, doubled up to 64 s for each loss; all others claim after 2 s without doubling.

--- a/crates/core/src/control/systems/ownership.rs
+++ b/crates/core/src/control/systems/ownership.rs
@@ -7,9 +7,12 @@
 
 /// Time without owner and standby after which any host may claim a database.
 const CLAIM_DELAY_US: u64 = 2_000_000;
-/// Doublings of the delay for a host that keeps losing the database to an owner that it cannot hear.
-/// Two hosts that are cut off from each other only would otherwise take turns every few seconds.
-const CLAIM_DELAY_DOUBLINGS: u32 = 5;
+/// The same for a host that hears no majority of the fleet, itself counted. It is more likely cut off
+/// than the last one alive, and would take the database from those that the callers can reach.
+const MINORITY_CLAIM_DELAY_US: u64 = 8_000_000;
+/// Doublings of the delay for a host in a minority that keeps losing the database to an owner that it
+/// cannot hear: two parts of a fleet would otherwise take turns every few seconds.
+const CLAIM_DELAY_DOUBLINGS: u32 = 3;
 /// Delay between the hosts of the rendezvous order.
 const CLAIM_STEP_US: u64 = 300_000;
 /// Hosts that wait in order; those behind all wait as long as the last of these.
@@ -103,7 +106,8 @@
     let order_us = tables.hosts.rank(database.as_u32(), host).min(CLAIM_STEPS) * CLAIM_STEP_US;
     let loss_us = match route.epoch {
         0 => 0,
-        _ => CLAIM_DELAY_US << route.losses.min(CLAIM_DELAY_DOUBLINGS),
+        _ if tables.hosts.hears_majority() => CLAIM_DELAY_US,
+        _ => MINORITY_CLAIM_DELAY_US << route.losses.min(CLAIM_DELAY_DOUBLINGS),
     };
     let standby_us = match route.standby {
         Some(standby) if tables.hosts.is_eligible(standby) => STANDBY_DELAY_US,
--- a/crates/core/src/control/tables/host_table.rs
+++ b/crates/core/src/control/tables/host_table.rs
@@ -64,6 +64,12 @@
             .collect()
     }
 
+    /// Whether this host and the live peers are more than half of the fleet.
+    pub(crate) fn hears_majority(&self) -> bool {
+        let alive = self.iter().filter(|(_, row)| row.state == HostState::Alive).count();
+        (alive + 1) * 2 > self.len() + 1
+    }
+
     /// The eligible peer that comes first for a database in rendezvous order.
     pub(crate) fn first_eligible(&self, database: DatabaseId) -> Option<HostId> {
         self.iter()
