Let a standby that hears no majority wait before it takes over

Cause: a standby that is cut off from all others took the database from a live owner at once, where callers could not reach it. With two hosts nothing changes. The claim delay uses the same test, since a host that is cut off suspects the others one after the other and counts as in a majority meanwhile.

--- a/crates/core/src/control/systems/group_answers.rs
+++ b/crates/core/src/control/systems/group_answers.rs
@@ -74,18 +74,12 @@
     let Some(state) = owned.instances.get_mut(usize::from(call.instance.index)) else {
         return false;
     };
+    let is_late_report = result.is_ok() && !is_stale;
     let is_current = match call.operation {
         // The answer to a missed call counts; its failure has been counted.
-        GroupOperation::Status => {
-            let is_expected = state.status_call.take_if(|present| *present == key).is_some();
-            is_expected || (result.is_ok() && !is_stale)
-        }
-        GroupOperation::AcceptTerm(_) => {
-            state.fence_call.take_if(|present| *present == key).is_some()
-        }
-        GroupOperation::Follow { .. } => {
-            state.follow_call.take_if(|present| *present == key).is_some()
-        }
+        GroupOperation::Status => take_slot(&mut state.status_call, key) || is_late_report,
+        GroupOperation::AcceptTerm(_) => take_slot(&mut state.fence_call, key),
+        GroupOperation::Follow { .. } => take_slot(&mut state.follow_call, key),
         GroupOperation::Promote(promoted) => promoted == term,
     };
     if !is_current {
@@ -106,6 +100,11 @@
     true
 }
 
+/// Empties the slot of a call in flight if it holds this call.
+fn take_slot(slot: &mut Option<GroupCallKey>, key: GroupCallKey) -> bool {
+    slot.take_if(|present| *present == key).is_some()
+}
+
 /// A lost answer of a promotion call leaves open whether the instance was promoted.
 fn take_promotion(tables: &mut Tables, call: &GroupCall, term: Term, result: GroupResult) {
     let now_us = tables.now_us;
--- a/crates/core/src/control/systems/ownership.rs
+++ b/crates/core/src/control/systems/ownership.rs
@@ -23,6 +23,8 @@
 const DENIAL_US: u64 = 450_000;
 /// Interval at which a database without an owner is looked at.
 const RECHECK_US: u64 = 500_000;
+/// Interval at which a standby that waits looks whether it hears a majority again.
+const TAKEOVER_RECHECK_US: u64 = 100_000;
 /// Time for which an ownership change is passed on.
 const PASS_ON_US: u64 = 3_000_000;
 
@@ -78,11 +80,13 @@
         }
     }
     let since_us = *route.unowned_since_us.get_or_insert(now_us);
-    if let Some(reservation) = route.reservation
-        && route.owner == Some(reservation.from)
-        && route.epoch == reservation.from_epoch
-    {
-        return Step::TakeOver(reservation.epoch);
+    if let Some(reserved) = reserved_epoch(route) {
+        let due_us = since_us + tables.hosts.takeover_delay_us(now_us);
+        if now_us < due_us {
+            // The delay ends early when a majority is heard again.
+            return Step::Wait(Some(due_us.min(now_us + TAKEOVER_RECHECK_US)));
+        }
+        return Step::TakeOver(reserved);
     }
     if route.is_record_busy {
         return Step::Wait(None);
@@ -99,6 +103,13 @@
     Step::Wait(Some(claim_at_us.min(now_us + RECHECK_US)))
 }
 
+/// Epoch that the owner in the route has reserved for this host.
+fn reserved_epoch(route: &Route) -> Option<u32> {
+    let reservation = route.reservation?;
+    let is_valid = route.owner == Some(reservation.from) && route.epoch == reservation.from_epoch;
+    is_valid.then_some(reservation.epoch)
+}
+
 /// Time that a database must have been without an owner before this host claims it.
 fn claim_delay_us(tables: &Tables, database: DatabaseId) -> u64 {
     let host = tables.config.host;
@@ -106,7 +117,7 @@
     let order_us = tables.hosts.rank(database.as_u32(), host).min(CLAIM_STEPS) * CLAIM_STEP_US;
     let loss_us = match route.epoch {
         0 => 0,
-        _ if tables.hosts.hears_majority() => CLAIM_DELAY_US,
+        _ if tables.hosts.hears_majority(tables.now_us) => CLAIM_DELAY_US,
         _ => MINORITY_CLAIM_DELAY_US << route.losses.min(CLAIM_DELAY_DOUBLINGS),
     };
     let standby_us = match route.standby {
--- a/crates/core/src/control/tables/host_table.rs
+++ b/crates/core/src/control/tables/host_table.rs
@@ -9,6 +9,11 @@
 pub(crate) const SMALL_FLEET_PEERS: usize = 8;
 /// Ring successors that get every heartbeat in a larger fleet.
 pub(crate) const RING_SUCCESSORS: usize = 4;
+/// Time that a standby waits if it hears no majority of the fleet, itself counted. It is more likely
+/// cut off than the last one alive, and callers could not reach it. The wait and the suspicion time
+/// stay below the target of 5 s for a gap.
+const MINORITY_TAKEOVER_DELAY_US: u64 = 3_000_000;
+
 /// All peers in the settings.
 #[derive(Debug, Default)]
 pub(crate) struct HostTable {
@@ -64,10 +69,18 @@
             .collect()
     }
 
-    /// Whether this host and the live peers are more than half of the fleet.
-    pub(crate) fn hears_majority(&self) -> bool {
-        let alive = self.iter().filter(|(_, row)| row.state == HostState::Alive).count();
-        (alive + 1) * 2 > self.len() + 1
+    /// Whether this host has heard from enough peers lately to make a majority, itself counted, of
+    /// those whose heartbeats all come here. In a small fleet these are all peers.
+    pub(crate) fn hears_majority(&self, now_us: u64) -> bool {
+        let near = || self.rows.values().filter(|row| row.is_near);
+        let is_recent =
+            |row: &&Host| row.heard_at_us.is_some_and(|at_us| at_us + RECENT_US >= now_us);
+        (near().filter(is_recent).count() + 1) * 2 > near().count() + 1
+    }
+
+    /// Time that a standby waits after its owner's death. Two hosts cannot tell a death from a cut.
+    pub(crate) fn takeover_delay_us(&self, now_us: u64) -> u64 {
+        if self.len() < 2 || self.hears_majority(now_us) { 0 } else { MINORITY_TAKEOVER_DELAY_US }
     }
 
     /// The eligible peer that comes first for a database in rendezvous order.
--- a/crates/core/tests/control_ownership.rs
+++ b/crates/core/tests/control_ownership.rs
@@ -226,6 +226,31 @@
     assert_eq!(simulation.take_log(), "");
 }
 
+/// Guards against a standby that is cut off from everyone for a while and takes the database away
+/// from an owner that callers can reach.
+#[test]
+fn isolated_standby_waits() {
+    let mut simulation = settled(1, "ledger-1");
+    let (_, record) = simulation.store.records[&database("ledger-1")];
+    simulation.isolate(record.standby.unwrap());
+    simulation.run_for(3 * SECOND);
+    simulation.cuts.clear();
+    simulation.run_for(20 * SECOND);
+    assert_eq!(simulation.server("ledger-1").unwrap().0, record.owner);
+    assert!(!simulation.take_log().contains("owned from"));
+}
+
+/// Guards against a gap above the target when the standby is the last host alive.
+#[test]
+fn last_host_takes_over() {
+    let mut simulation = settled_fleet(3, 1, "ledger-1");
+    let (_, record) = simulation.store.records[&database("ledger-1")];
+    for host in [1, 2, 3].map(HostId).into_iter().filter(|&host| Some(host) != record.standby) {
+        simulation.node(host).up = false;
+    }
+    simulation.measure(GAP_TARGET_US, |s| s.server("ledger-1").is_some());
+}
+
 /// Guards against false suspicions, and against a slow takeover, in a fleet in which a heartbeat
 /// does not go to everyone.
 #[test]
