Read a socket once in a wake-up where that suffices

Each read was followed by another one that found nothing. A read that does not fill the buffer has taken everything unless the poll reports the end of the connection too. Also raises the limit of open files to what callers_limit needs; processes often start with 1,024.

--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -17,7 +17,7 @@
 use crate::mail::ControlMail;
 use crate::monitors::Monitors;
 use crate::net::{SocketTable, bind_udp};
-use crate::poller::Poller;
+use crate::poller::{Poller, Ready};
 
 pub(super) const SIGNALS: Token = Token(1);
 pub(super) const HEARTBEATS: Token = Token(2);
@@ -50,7 +50,7 @@
     /// Whether the mailbox may hold more than was taken in the last wake-up.
     mail_left: bool,
     retry_us: Option<u64>,
-    ready: Vec<Token>,
+    ready: Vec<Ready>,
 }
 
 impl ControlThread {
@@ -131,14 +131,16 @@
 
     fn take_events(&mut self) {
         let mut ready = core::mem::take(&mut self.ready);
-        ready.extend(self.io.unfinished.drain(..));
-        for &token in &ready {
+        ready.extend(self.io.unfinished.drain(..).map(Ready::from));
+        for &Ready { token, to_end } in &ready {
+            self.io.scratch.to_end = to_end;
             match token {
                 SIGNALS => self.take_signals(),
                 HEARTBEATS => self.take_heartbeats(),
                 _ => self.take_socket(token),
             }
         }
+        self.io.scratch.to_end = true;
         self.ready = ready;
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod args;
 mod clock;
 mod control;
+mod descriptors;
 mod driven;
 mod error;
 mod io_context;
--- a/crates/daemon/src/links/incoming_links.rs
+++ b/crates/daemon/src/links/incoming_links.rs
@@ -127,6 +127,7 @@
         deliver: &mut impl FnMut(HostId, Frame),
     ) -> Next {
         let mut total_bytes = 0;
+        self.stream.start_reading();
         while total_bytes < READ_BUDGET_BYTES {
             match self.stream.read(&mut io.scratch, usize::MAX) {
                 ReadOutcome::Data(bytes) => {
--- a/crates/daemon/src/links/outgoing_links.rs
+++ b/crates/daemon/src/links/outgoing_links.rs
@@ -174,6 +174,7 @@
         if !self.connected {
             return Ok(());
         }
+        self.stream.start_reading();
         match self.stream.read(&mut io.scratch, 1) {
             ReadOutcome::Drained => Ok(()),
             ReadOutcome::Data(_) | ReadOutcome::Closed => {
--- a/crates/daemon/src/monitors/monitor.rs
+++ b/crates/daemon/src/monitors/monitor.rs
@@ -82,6 +82,7 @@
                 return Ok(());
             }
         }
+        connection.stream.start_reading();
         loop {
             let read = connection.stream.read(&mut io.scratch, usize::MAX);
             match read {
--- a/crates/daemon/src/net/stream.rs
+++ b/crates/daemon/src/net/stream.rs
@@ -13,13 +13,19 @@
 
 /// Read buffer that the sockets of a thread share, so that an idle socket holds no memory.
 #[derive(Debug)]
-pub struct Scratch(Box<[u8]>);
+pub struct Scratch {
+    bytes: Box<[u8]>,
+    /// Whether a read that does not fill the buffer is followed by another one. The poll reports
+    /// each arrival, so that a short read has taken everything, except that the end of a connection
+    /// is reported together with the bytes before it.
+    pub to_end: bool,
+}
 
 impl Scratch {
     /// Allocates the buffer.
     #[must_use]
     pub fn new() -> Self {
-        Self(vec![0; 64 * 1024].into_boxed_slice())
+        Self { bytes: vec![0; 64 * 1024].into_boxed_slice(), to_end: true }
     }
 }
 
@@ -47,27 +53,38 @@
     pub tcp: TcpStream,
     /// Bytes that wait to be written.
     pub output: WriteBuffer,
+    /// Whether a short read has taken everything since [`Stream::start_reading`].
+    is_drained: bool,
 }
 
 impl Stream {
     /// Wraps a socket.
     #[must_use]
     pub fn new(tcp: TcpStream, output_limit_bytes: usize) -> Self {
-        Self { tcp, output: WriteBuffer::new(output_limit_bytes) }
+        Self { tcp, output: WriteBuffer::new(output_limit_bytes), is_drained: false }
+    }
+
+    /// Starts the reads of one wake-up.
+    pub fn start_reading(&mut self) {
+        self.is_drained = false;
     }
 
     /// Reads at most `limit_bytes`, which must not be 0.
     pub fn read<'a>(&mut self, scratch: &'a mut Scratch, limit_bytes: usize) -> ReadOutcome<'a> {
-        let length = limit_bytes.min(scratch.0.len());
-        loop {
-            match self.tcp.read(&mut scratch.0[..length]) {
+        let length = limit_bytes.min(scratch.bytes.len());
+        while !self.is_drained {
+            match self.tcp.read(&mut scratch.bytes[..length]) {
                 Ok(0) => return ReadOutcome::Closed,
-                Ok(count) => return ReadOutcome::Data(&scratch.0[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadOutcome::Drained,
+                Ok(count) => {
+                    self.is_drained = count < length && !scratch.to_end;
+                    return ReadOutcome::Data(&scratch.bytes[..count]);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.is_drained = true,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return ReadOutcome::Closed,
             }
         }
+        ReadOutcome::Drained
     }
 
     /// Writes what waits. Returns the bytes written.
--- a/crates/daemon/src/poller.rs
+++ b/crates/daemon/src/poller.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind};
 
 use crossbeam::channel::Receiver;
+use mio::event::Event;
 use mio::{Events, Poll, Registry, Token};
 
 use crate::clock::Clock;
@@ -13,6 +14,29 @@
 
 const EVENTS_PER_WAKE_UP: usize = 1024;
 
+/// A socket or another source that is ready.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// The source.
+    pub token: Token,
+    /// Whether it may have to be read to its end, see [`Scratch::to_end`](crate::net::Scratch).
+    pub to_end: bool,
+}
+
+impl From<&Event> for Ready {
+    fn from(event: &Event) -> Self {
+        let to_end = event.is_read_closed() || event.is_error();
+        Self { token: event.token(), to_end }
+    }
+}
+
+impl From<Token> for Ready {
+    /// A source that was not read to its end before.
+    fn from(token: Token) -> Self {
+        Self { token, to_end: true }
+    }
+}
+
 /// The poll of a thread with its mailbox. It is created before the threads start, so that each can
 /// be given the mailboxes of the others.
 #[derive(Debug)]
@@ -50,13 +74,12 @@
         self.poll.registry().try_clone()
     }
 
-    /// Waits for events, at most until a deadline if there is one, and returns the tokens of what
-    /// is ready.
-    pub fn wait(&mut self, clock: Clock, deadline_us: Option<u64>, ready: &mut Vec<Token>) {
+    /// Waits for events, at most until a deadline if there is one, and returns what is ready.
+    pub fn wait(&mut self, clock: Clock, deadline_us: Option<u64>, ready: &mut Vec<Ready>) {
         ready.clear();
         let timeout = deadline_us.map(|deadline_us| clock.until(deadline_us));
         match self.poll.poll(&mut self.events, timeout) {
-            Ok(()) => ready.extend(self.events.iter().map(|event| event.token())),
+            Ok(()) => ready.extend(self.events.iter().map(Ready::from)),
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(error) => panic!("the poll of this thread is unusable: {error}"),
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,13 +14,13 @@
 use crate::clock::Clock;
 use crate::control::{ControlParts, ControlThread, Exit, StorePool};
 use crate::error::DaemonError;
-use crate::logging;
 use crate::mail::{ControlMail, TrafficMail};
 use crate::mailbox::MailSender;
 use crate::metrics::Metrics;
 use crate::poller::Poller;
 use crate::thread_guard::ThreadGuard;
 use crate::traffic::{TrafficParts, TrafficThread};
+use crate::{descriptors, logging};
 
 /// Messages that a thread's mailbox holds.
 const MAILBOX_CAPACITY: usize = 16_384;
@@ -32,6 +32,7 @@
 /// The process could not start, or one of its threads ended unexpectedly.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     logging::start(&settings.log);
+    descriptors::raise_limit(settings.traffic.callers_limit);
     let settings = Arc::new(settings);
     let metrics = Arc::new(Metrics::default());
     let clock = Clock::start();
--- a/crates/daemon/src/traffic/backends/backend.rs
+++ b/crates/daemon/src/traffic/backends/backend.rs
@@ -76,6 +76,7 @@
             return Ok(());
         }
         let mut total_bytes = 0;
+        self.stream.start_reading();
         while total_bytes < READ_BUDGET_BYTES {
             match self.stream.read(&mut io.scratch, usize::MAX) {
                 ReadOutcome::Data(bytes) => {
--- a/crates/daemon/src/traffic/callers/caller.rs
+++ b/crates/daemon/src/traffic/callers/caller.rs
@@ -161,6 +161,7 @@
         token: Token,
     ) -> Next {
         let mut total_bytes = 0;
+        self.stream.start_reading();
         while total_bytes < READ_BUDGET_BYTES {
             let room = self.room();
             if room == 0 {
--- a/crates/daemon/src/traffic/thread.rs
+++ b/crates/daemon/src/traffic/thread.rs
@@ -18,7 +18,7 @@
 use crate::metrics::ThreadLabel;
 use crate::monitors::Monitors;
 use crate::net::{ACCEPT_RETRY_US, SocketTable, listen};
-use crate::poller::Poller;
+use crate::poller::{Poller, Ready};
 
 const CALLERS: Token = Token(1);
 const PEERS: Token = Token(2);
@@ -50,7 +50,7 @@
     peer_listener: TcpListener,
     idle_reported: bool,
     retry_us: Option<u64>,
-    ready: Vec<Token>,
+    ready: Vec<Ready>,
 }
 
 impl TrafficThread {
@@ -138,14 +138,16 @@
 
     fn take_events(&mut self) {
         let mut ready = core::mem::take(&mut self.ready);
-        ready.extend(self.io.unfinished.drain(..));
-        for &token in &ready {
+        ready.extend(self.io.unfinished.drain(..).map(Ready::from));
+        for &Ready { token, to_end } in &ready {
+            self.io.scratch.to_end = to_end;
             match token {
                 CALLERS => self.accept_callers(),
                 PEERS => self.accept_peers(),
                 _ => self.take_socket(token),
             }
         }
+        self.io.scratch.to_end = true;
         self.ready = ready;
     }
 
--- a/crates/daemon/tests/fleet/failures.rs
+++ b/crates/daemon/tests/fleet/failures.rs
@@ -69,6 +69,25 @@
     }
 }
 
+/// Guards against a former owner that goes on serving after a pause, and against callers of it that
+/// are told something false.
+#[test]
+fn a_paused_owner_is_replaced_and_serves_again_as_entry() {
+    let fleet = Fleet::start(3);
+    fleet.proxies[0].connect(DATABASE).batch_execute(TABLE).expect("the table");
+    let owner = fleet.owner();
+    fleet.proxies[owner].signal("STOP");
+    let other = &fleet.proxies[(owner + 1) % 3];
+    write_until_acknowledged(other, 1);
+    fleet.proxies[owner].signal("CONT");
+    for (index, proxy) in fleet.proxies.iter().enumerate() {
+        let id = 10 + i32::try_from(index).expect("few proxies");
+        write_until_acknowledged(proxy, id);
+        assert!(amount_of(proxy, 1) >= 1, "the write during the pause is seen");
+        assert!(amount_of(proxy, id) >= 1, "the later write is seen");
+    }
+}
+
 /// Guards against a shutdown that cuts a running statement, on the proxy that the caller is
 /// connected to or on the owner, and against a process that does not end.
 #[test]
--- a/crates/daemon/tests/fleet/support/proxy.rs
+++ b/crates/daemon/tests/fleet/support/proxy.rs
@@ -109,7 +109,13 @@
 
     /// Asks the process to shut down.
     pub fn terminate(&self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let arguments = [format!("-{name}"), self.child.id().to_string()];
+        let status = Command::new("kill").args(arguments).status();
         assert!(status.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
