--- a/crates/core/tests/world/faults.rs
+++ b/crates/core/tests/world/faults.rs
@@ -11,21 +11,54 @@
 /// A fault, or its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
-    KillPrimary { database: usize },
-    CutPrimaryFromGroup { database: usize },
-    CutPrimaryFromProxies { database: usize },
-    PausePrimary { database: usize, for_us: u64 },
-    KillReplica { database: usize },
-    LagReplicas { database: usize, lag_us: u64 },
-    KillOwner { database: usize },
-    PauseOwner { database: usize, for_us: u64 },
-    CutOwnerFromPeers { database: usize },
-    DrainOwner { database: usize },
-    StoreOutage { outage: bool },
-    LoseStoreAnswers { count: u32 },
+    KillPrimary {
+        database: usize,
+    },
+    CutPrimaryFromGroup {
+        database: usize,
+    },
+    CutPrimaryFromProxies {
+        database: usize,
+    },
+    PausePrimary {
+        database: usize,
+        for_us: u64,
+    },
+    KillReplica {
+        database: usize,
+    },
+    LagReplicas {
+        database: usize,
+        lag_us: u64,
+    },
+    KillOwner {
+        database: usize,
+    },
+    PauseOwner {
+        database: usize,
+        for_us: u64,
+    },
+    CutOwnerFromPeers {
+        database: usize,
+    },
+    DrainOwner {
+        database: usize,
+    },
+    StoreOutage {
+        outage: bool,
+    },
+    LoseStoreAnswers {
+        count: u32,
+    },
     LosePromoteAnswer,
-    PrimaryLeaves { database: usize },
-    ApplyConfiguration { version: u64 },
+    PrimaryLeaves {
+        database: usize,
+    },
+    ApplyConfiguration {
+        version: u64,
+    },
+    /// Kills a host that owns nothing, with the callers that are connected to it.
+    KillOtherThanOwner,
     RestartHosts,
     RestartInstances,
     HealAll,
@@ -81,6 +114,12 @@
                 self.configurations.insert(version, configuration.into());
                 self.store.apply(version);
             }
+            Fault::KillOtherThanOwner => {
+                let owner = self.owner(0);
+                if let Some(host) = (0..self.hosts.len()).find(|host| Some(*host) != owner) {
+                    self.kill_host(host);
+                }
+            }
             Fault::RestartHosts => self.restart_hosts(),
             Fault::RestartInstances => self.restart_instances(),
             Fault::HealAll => self.heal_all(),
--- a/crates/core/tests/world/hosts.rs
+++ b/crates/core/tests/world/hosts.rs
@@ -5,11 +5,11 @@
 
 use flamingorock_core::control::{self, Control, ControlConfig};
 use flamingorock_core::traffic::{self, Traffic, TrafficConfig};
-use flamingorock_core::{HostId, View};
+use flamingorock_core::{HostId, ResultCode, View};
 
 use super::{
     Asker, CALLER_HOP_US, HOP_US, Happening, Host, LINK_TIMEOUT_US, STORE_US, Settings, World,
-    callers::Reply, connection_id,
+    callers::Reply, connection_id, settings::Sabotage,
 };
 
 /// Creates a host as it is after the start of its process.
@@ -243,6 +243,11 @@
         }
         let event = traffic::Event::MessageReceived { from: id, message };
         self.send_to_traffic(receiver, remote, HOP_US, event);
+        let repeats = self.settings.sabotage == Some(Sabotage::RepeatRequests);
+        if let Some(request) = request.filter(|_| repeats && self.random.percent(2)) {
+            let event = traffic::Event::SendFailed { host: to, request };
+            self.send_to_traffic(host, incarnation, HOP_US, event);
+        }
     }
 
     fn ask(
@@ -260,8 +265,23 @@
         self.schedule(at_us, call);
     }
 
+    /// Changes a reply if the run is to show that a check catches a wrong one.
+    fn falsify_reply(&mut self, caller: u32, reply: Reply) -> (u32, Reply) {
+        let Reply::Answer { status, .. } = reply else { return (caller, reply) };
+        match self.settings.sabotage {
+            Some(Sabotage::CrossAnswers) if caller > 0 && self.random.percent(2) => {
+                (caller - 1, reply)
+            }
+            Some(Sabotage::RefuseAfterRun) if self.random.percent(2) => {
+                (caller, Reply::Refused { code: ResultCode::Overloaded, status })
+            }
+            _ => (caller, reply),
+        }
+    }
+
     fn reply(&mut self, host: usize, key: flamingorock_core::CallerKey, reply: Reply) {
         let Some(&caller) = self.hosts[host].callers.get(&key) else { return };
+        let (caller, reply) = self.falsify_reply(caller, reply);
         let connection = self.callers[caller as usize].connection;
         let at_us = self.now_us + CALLER_HOP_US;
         self.schedule(at_us, Happening::Answer { caller, connection, reply });
--- a/crates/core/tests/world/instances.rs
+++ b/crates/core/tests/world/instances.rs
@@ -6,6 +6,7 @@
 use flamingorock_core::{InstanceId, InstanceReport, Term, TransactionStatus, WorkKey};
 
 use super::instance::{ConnectionId, Effect, Entry, Session};
+use super::settings::Sabotage;
 use super::{Asker, CONNECT_US, HOP_US, Happening, World};
 
 /// Interval of replication keepalives.
@@ -204,12 +205,15 @@
     }
 
     fn reset(&mut self, id: ConnectionId, instance: InstanceId) {
+        let keeps_transactions = self.settings.sabotage == Some(Sabotage::KeepTransactions);
         let row = self.instance(instance);
         if !row.up || row.cut_proxies {
             return;
         }
         let Some(session) = row.connections.get_mut(&id) else { return };
-        *session = Session::default();
+        if !keeps_transactions {
+            *session = Session::default();
+        }
         let event = traffic::Event::ConnectionReset { connection: id.1 };
         self.send_to_traffic(id.0 % 1_000, (id.0 / 1_000) as u64, 2 * HOP_US, event);
     }
@@ -293,7 +297,7 @@
             found.expect("the address belongs to an instance")
         };
         let length = row.log.len();
-        let report = row.call(operation, now_us, index_of);
+        let mut report = row.call(operation, now_us, index_of);
         if row.log.len() > length {
             self.ship_log(id);
         }
@@ -303,9 +307,25 @@
             self.answer_asker(asker, id, after_us, Err(ProbeFailure::Timeout));
             return;
         }
+        if matches!(asker.2, Asker::Probe(_)) {
+            self.falsify(asker.0, id, &mut report);
+        }
         self.answer_asker(asker, id, HOP_US, Ok(report));
     }
 
+    /// Changes the answer to a probe if the run is to show that a check catches a wrong confirmation.
+    fn falsify(&mut self, host: usize, id: InstanceId, report: &mut InstanceReport) {
+        let Some(served) = self.hosts[host].view.served_database(id.database) else { return };
+        match self.settings.sabotage {
+            Some(Sabotage::ConfirmAnyTerm) => report.accepted_term = served.term,
+            Some(Sabotage::ConfirmAnyPosition) => {
+                let primary = served.primary_index.map_or(0, usize::from);
+                report.position = self.databases[&id.database][primary].position();
+            }
+            _ => {}
+        }
+    }
+
     fn answer_asker(
         &mut self,
         (host, incarnation, from): (usize, u64, Asker),
--- a/crates/core/tests/world/settings.rs
+++ b/crates/core/tests/world/settings.rs
@@ -7,6 +7,23 @@
 
 use super::Mix;
 
+/// A deliberately wrong variant of a rule, to show that a check catches it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sabotage {
+    /// Probes always see the term that the asking host expects.
+    ConfirmAnyTerm,
+    /// Probes always see replicas at the primary's position.
+    ConfirmAnyPosition,
+    /// Some requests are sent again although they have arrived.
+    RepeatRequests,
+    /// Some answers go to the caller that asked before.
+    CrossAnswers,
+    /// Resets leave the open transaction as it is.
+    KeepTransactions,
+    /// Some answers are replaced by a refusal as not run.
+    RefuseAfterRun,
+}
+
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub seed: u64,
@@ -23,6 +40,7 @@
     /// Loses the answer to the next promotion.
     pub lose_promote_answer: bool,
     pub max_staleness_us: u64,
+    pub sabotage: Option<Sabotage>,
 }
 
 impl Default for Settings {
@@ -41,6 +59,7 @@
             durability: Durability::Replica,
             lose_promote_answer: false,
             max_staleness_us: 2_000_000,
+            sabotage: None,
         }
     }
 }
