Bound planned changes of primary and let the only host finish on shutdown

Cause: a planned promotion admitted nothing for up to 10 s of open transactions and 5 s of replication lag, three times the target for a gap. When no other host could take a database over, a draining owner let it go at once and the statement that ran ended as unknown (fleet test a_shutdown_of_the_only_proxy_cuts_no_running_statement).

Change: 2 s for open transactions and 3 s to catch up; a database without a successor is let go once nothing runs in it.

--- a/crates/core/src/control/systems/drain.rs
+++ b/crates/core/src/control/systems/drain.rs
@@ -1,6 +1,5 @@
 //! Hands over everything when the process is told to shut down.
 
-use super::ownership;
 use crate::DatabaseId;
 use crate::control::tables::{Tables, Transfer};
 use crate::control::{Action, StateChange};
@@ -28,17 +27,15 @@
     tables.due_owned = tables.owned.keys().copied().collect();
 }
 
-/// Starts the handover of a database once it has a live standby. Until then it goes on serving. If
-/// no host can take it, it is let go.
+/// Starts the handover of a database once it has a live standby. Until then it goes on serving. If no
+/// host can take it, it is let go once nothing runs in it any more.
 fn hand_over(tables: &mut Tables, database: DatabaseId) {
     let limit_us = tables.now_us + tables.config.handover_limit_us;
-    if tables.hosts.first_eligible(database).is_none() {
-        ownership::release(tables, database);
-        return;
-    }
+    let has_successor = tables.hosts.first_eligible(database).is_some();
     let Some(owned) = tables.owned.get_mut(&database) else { return };
     let has_standby = owned.standby.is_some_and(|s| tables.hosts.is_eligible(s.host));
-    if !has_standby || matches!(owned.transfer, Some(Transfer::Handover { .. })) {
+    let is_started = matches!(owned.transfer, Some(Transfer::Handover { .. }));
+    if has_successor && !has_standby || is_started {
         return;
     }
     owned.transfer = Some(Transfer::Handover { limit_us, quiescent: false, next_offer_us: 0 });
--- a/crates/core/src/control/systems/handover.rs
+++ b/crates/core/src/control/systems/handover.rs
@@ -35,6 +35,10 @@
         tables.deadlines.owned.set_earlier(database, *limit_us);
         return;
     }
+    if tables.draining && tables.hosts.first_eligible(database).is_none() {
+        ownership::release(tables, database);
+        return;
+    }
     if now_us >= *next_offer_us {
         *next_offer_us = now_us + OFFER_INTERVAL_US;
         offer(tables, database);
--- a/crates/core/src/control/systems/planned_promotion.rs
+++ b/crates/core/src/control/systems/planned_promotion.rs
@@ -4,8 +4,11 @@
 use crate::control::tables::{OwnedDatabase, Phase, Tables, Transfer};
 use crate::{DatabaseId, InstanceId};
 
+/// Time that open transactions get to end. Together with the time to catch up it keeps the gap in
+/// service within the target of 5 s.
+const QUIESCE_LIMIT_US: u64 = 2_000_000;
 /// Time that the wanted instance gets to reach the primary's position once nothing runs any more.
-const CATCH_UP_US: u64 = 5_000_000;
+const CATCH_UP_US: u64 = 3_000_000;
 /// Delay before the primary on a leaving host is moved again if an attempt did not move it. It gets
 /// no new work meanwhile.
 const EVACUATION_RETRY_US: u64 = 2_000_000;
@@ -46,7 +49,7 @@
 }
 
 fn begin(tables: &mut Tables, database: DatabaseId, wanted: u8) {
-    let limit_us = tables.now_us + tables.config.handover_limit_us;
+    let limit_us = tables.now_us + tables.config.handover_limit_us.min(QUIESCE_LIMIT_US);
     let Some(owned) = tables.owned.get_mut(&database) else {
         let reason = "this host does not own the database";
         tables.log(StateChange::PromotionAbandoned { database, reason });
