Add deletions and lists of keys to the key-value stand-in

flamingoctl lists and removes kept versions, which the stand-in answered with 404 'no such path'. It now answers DELETE of one key with true and ?keys=true with the keys of a prefix, 404 if there are none. Conditional and recursive deletions and watches on lists are refused with 400, since ignoring them would do something else than was asked for.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -110,7 +110,11 @@
             return refusal;
         }
         let reply = match (request.method.as_str(), request.path.strip_prefix("/v1/kv/")) {
+            ("GET", Some(prefix)) if request.query.contains_key("keys") => {
+                return state.keys(prefix, request);
+            }
             ("GET", Some(key)) => return self.get(state, key, request),
+            ("DELETE", Some(key)) => state.delete(key, request),
             ("PUT", Some(key)) => state.put(key, request),
             ("PUT", None) => state.session(request),
             _ => return Reply::text(404, "no such path"),
@@ -206,6 +210,28 @@
         Reply::json(&json!(written))
     }
 
+    /// Lists the keys with a prefix.
+    fn keys(&mut self, prefix: &str, request: &Request) -> Reply {
+        self.expire(Instant::now());
+        if request.query.contains_key("index") {
+            return Reply::text(400, "a list of keys cannot be watched");
+        }
+        let (keys, index) = self.entries.keys(prefix, self.faults.stale_reads);
+        let reply = if keys.is_empty() { Reply::text(404, "") } else { Reply::json(&json!(keys)) };
+        reply.with_index(index)
+    }
+
+    /// Deletes one key. Conditions and subtrees are refused: ignoring them would delete something
+    /// else than was asked for.
+    fn delete(&mut self, key: &str, request: &Request) -> Reply {
+        self.expire(Instant::now());
+        if !request.query.is_empty() {
+            return Reply::text(400, "DELETE takes no parameters");
+        }
+        self.entries.delete(key);
+        Reply::json(&json!(true))
+    }
+
     fn session(&mut self, request: &Request) -> Reply {
         let now = Instant::now();
         self.expire(now);
--- a/crates/standin/src/store/entries.rs
+++ b/crates/standin/src/store/entries.rs
@@ -102,6 +102,25 @@
         true
     }
 
+    /// Keys with a prefix in their order, and the index of the last change among them, which is 1 if
+    /// none ever existed. A stale read sees the state before the last change of each key.
+    pub(super) fn keys(&self, prefix: &str, is_stale: bool) -> (Vec<&str>, u64) {
+        let (mut keys, mut last_index) = (Vec::new(), 1);
+        for key in self.slots.keys().filter(|key| key.starts_with(prefix)) {
+            let (entry, index) = self.read(key, is_stale);
+            last_index = last_index.max(index);
+            keys.extend(entry.map(|_| key.as_str()));
+        }
+        (keys, last_index)
+    }
+
+    /// Deletes a key; a key that does not exist is left alone.
+    pub(super) fn delete(&mut self, key: &str) {
+        if self.read(key, false).0.is_some() {
+            self.change(key, None, self.index + 1);
+        }
+    }
+
     /// Releases or deletes all keys that a session holds.
     pub(super) fn release_all(&mut self, session: &str, deletes: bool) {
         let held = self.slots.iter().filter_map(|(key, slot)| {
--- a/crates/standin/tests/support/web.rs
+++ b/crates/standin/tests/support/web.rs
@@ -38,6 +38,12 @@
         (status, body)
     }
 
+    /// Status and body of the answer to a `DELETE`.
+    pub(crate) fn delete(&self, path: &str) -> Result<(u16, String), ureq::Error> {
+        let (status, _, body) = self.agent.delete(self.url(path)).call().map(read)?;
+        Ok((status, body))
+    }
+
     pub(crate) fn set_fault(&self, query: &str) {
         assert_eq!(self.put(&format!("/standin/fault?{query}"), "").0, 200);
     }
