Add a quick start that shows the system through two failures

Nothing in the repository ran the whole system for a new reader. The script quickstart.sh builds the programs and runs the new subcommand demo of flamingorock-standin: stand-ins, two proxies on free loopback ports, a service file through flamingoctl, writes and reads across the proxies, a transaction, and the loss of the primary and of the owning proxy while four callers write. It compares the outcomes with the log of the primary, read through the control port, and fails if a write is lost or doubled, if one that was refused is in the log, or if a read was wrong. It also ends its processes and removes its folder after an error or a signal. The search for a free port moves from the tests of the daemon to the stand-ins for this.

--- a/crates/daemon/tests/fleet/support.rs
+++ b/crates/daemon/tests/fleet/support.rs
@@ -1,6 +1,5 @@
 //! A fleet for end-to-end tests: stand-ins in this process and real proxy processes.
 
-mod ports;
 mod proxy;
 
 use std::fmt::{Display, Write as _};
@@ -11,7 +10,7 @@
 use flamingorock_platform::{ConsulStore, KeyValueStore, Swap};
 use flamingorock_standin::{Database, DatabaseConfig, HostList, Store};
 
-pub use ports::free_port;
+pub use flamingorock_standin::free_port;
 pub use proxy::{ADMIN_KEY, Proxy};
 
 /// Limit of each wait. It only bounds a failing test: a state that is reached ends the wait.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,9 +6,11 @@
 mod database;
 mod host_list;
 mod http;
+mod ports;
 mod server;
 mod store;
 
 pub use database::{Database, DatabaseConfig, Storage};
 pub use host_list::HostList;
+pub use ports::free_port;
 pub use store::Store;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,8 +1,11 @@
-//! Runs one stand-in as a process until it is killed.
+//! Runs one stand-in as a process until it is killed, or the demo job.
+
+mod demo;
 
 use std::error::Error;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::{io, thread};
 
 use clap::{Args, Parser, Subcommand};
@@ -24,6 +27,10 @@
     Store(HttpArguments),
     /// Host list: Consul catalog HTTP API.
     HostList(HttpArguments),
+    /// Demo job: two proxies and all stand-ins on loopback, with failures on the way.
+    ///
+    /// Exits with 0 only if every acknowledged write is in the database's log exactly once.
+    Demo(demo::DemoArguments),
 }
 
 #[derive(Args)]
@@ -58,7 +65,17 @@
     lag_ms: u64,
 }
 
-fn main() -> Result<(), Box<dyn Error>> {
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn Error>> {
     tracing_subscriber::fmt()
         .with_writer(io::stderr)
         .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
@@ -84,6 +101,7 @@
             let host_list = HostList::start(arguments.listen)?;
             run_until_killed(host_list.address())
         }
+        Command::Demo(arguments) => Ok(demo::run(&arguments)?),
     }
 }
 
--- a/crates/daemon/tests/fleet/support/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -9,7 +9,13 @@
 const FIRST: u16 = 12_000;
 const COUNT: u16 = 18_000;
 
-/// A port that is free for TCP and UDP. Each process starts its search elsewhere.
+/// Finds a loopback port that is free for TCP and UDP, for a process that is about to be started.
+/// Each process starts its search elsewhere.
+///
+/// # Panics
+///
+/// No port is free.
+#[must_use]
 pub fn free_port() -> u16 {
     static OFFSET: AtomicU16 = AtomicU16::new(0);
     for _ in 0..COUNT {
