--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -44,10 +45,25 @@
     pub traffic: Vec<MailSender<TrafficMail>>,
 }
 
+/// Ends an [`AdminServer`] that runs on another thread.
+pub struct AdminStop {
+    server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl AdminStop {
+    /// Lets the server finish the answer that it is writing and end.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.server.unblock();
+    }
+}
+
 /// Server of the metrics and admin port. It runs on a thread of its own and reaches the others only
 /// over their mailboxes.
 pub struct AdminServer {
-    server: Server,
+    server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
     parts: AdminParts,
     history: BurnHistory,
     started: Instant,
@@ -67,14 +83,21 @@
             error: std::io::Error::other(error),
         })?;
         let history = BurnHistory::new(parts.host, parts.incarnation);
-        Ok(Self { server, parts, history, started: Instant::now() })
+        let stopping = Arc::new(AtomicBool::new(false));
+        Ok(Self { server: Arc::new(server), stopping, parts, history, started: Instant::now() })
+    }
+
+    /// Handle that ends the server from another thread.
+    #[must_use]
+    pub fn stop_handle(&self) -> AdminStop {
+        AdminStop { server: Arc::clone(&self.server), stopping: Arc::clone(&self.stopping) }
     }
 
-    /// Answers requests, and samples the counters for the burn report, until the process ends.
+    /// Answers requests, and samples the counters for the burn report, until it is stopped.
     pub fn run(mut self) {
         let interval = Duration::from_secs(SAMPLE_INTERVAL_S);
         let mut next_sample = self.started;
-        loop {
+        while !self.stopping.load(Ordering::Acquire) {
             let wait = next_sample.saturating_duration_since(Instant::now());
             if wait.is_zero() {
                 self.history.sample(self.uptime_s(), &self.statistics());
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,7 +10,7 @@
 use flamingorock_core::traffic::TrafficConfig;
 use flamingorock_platform::{ConsulHostList, ConsulStore, Keys};
 
-use crate::admin::{AdminParts, AdminServer};
+use crate::admin::{AdminParts, AdminServer, AdminStop};
 use crate::clock::Clock;
 use crate::control::{ControlParts, ControlThread, Exit, StorePool};
 use crate::error::DaemonError;
@@ -50,6 +50,7 @@
     let traffic = traffic_threads(pollers, &parts)?;
     let incarnation = incarnation();
     let admin = admin_server(&parts, incarnation)?;
+    let admin_stop = admin.stop_handle();
     let store = store_pool(&parts)?;
     let machine = Control::new(control_config(&settings, incarnation));
     let traffic_mailboxes = mailboxes.clone();
@@ -60,7 +61,7 @@
     tracing::info!(host = %parts.settings.host.id, "started");
     let exit = control.run();
     if exit == Exit::Drained {
-        stop(&mailboxes, handles);
+        stop(&mailboxes, &admin_stop, handles);
     }
     end(exit)
 }
@@ -133,8 +134,7 @@
         })?);
     }
     let guard = ThreadGuard::new("the admin thread", control.clone());
-    // It ends with the process: nothing is lost with a metrics request that is cut off.
-    drop(spawn("admin".to_owned(), move || {
+    handles.push(spawn("admin".to_owned(), move || {
         admin.run();
         drop(guard);
     })?);
@@ -149,9 +149,11 @@
     spawned.map_err(DaemonError::starting("a thread"))
 }
 
-/// Lets the traffic threads finish. Not done if the process has to end at once: a thread that hangs
-/// would keep it from that.
-fn stop(mailboxes: &[MailSender<TrafficMail>], handles: Vec<JoinHandle<()>>) {
+/// Lets the traffic threads finish, and the admin thread the answer that it is writing, which may be the
+/// one to the request for this shutdown. Not done if the process has to end at once: a thread that
+/// hangs would keep it from that.
+fn stop(mailboxes: &[MailSender<TrafficMail>], admin: &AdminStop, handles: Vec<JoinHandle<()>>) {
+    admin.stop();
     for mailbox in mailboxes {
         mailbox.send(TrafficMail::Stop);
     }
