--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,6 +1,19 @@
 //! Tests with real proxy processes and stand-ins of the platform.
 
+use std::path::Path;
+use std::process::Command;
+
+mod cut_primary;
 mod end_to_end;
 mod failures;
 mod hostile_input;
+mod paused_owner;
+mod store_outage;
 mod support;
+
+/// Command that runs a proxy with a settings file.
+fn daemon_command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flamingorockd"));
+    command.arg("--config").arg(settings);
+    command
+}
--- a/crates/daemon/tests/fleet/support.rs
+++ b/crates/daemon/tests/fleet/support/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet for end-to-end tests: stand-ins in this process and real proxy processes.
 
+mod ledger;
 mod proxy;
 
 use std::fmt::{Display, Write as _};
@@ -11,6 +12,7 @@
 use flamingorock_standin::{Database, DatabaseConfig, HostList, Store};
 
 pub use flamingorock_standin::free_port;
+pub use ledger::{Ledger, rows_of};
 pub use proxy::{ADMIN_KEY, Proxy};
 
 /// Limit of each wait. It only bounds a failing test: a state that is reached ends the wait.
@@ -127,7 +129,8 @@
         assert_eq!(status, 200);
     }
 
-    fn services(&self) -> String {
+    /// Service file of the fleet.
+    pub fn services(&self) -> String {
         let mut text = String::from(
             "[service ledger-commun]\ndurability = replica\nmax_staleness_ms = 0\n\
              ranks = urgent, normal\ndefault_rank = normal\n\
@@ -148,6 +151,25 @@
         text
     }
 
+    /// Sets faults of the key-value service.
+    pub fn set_store_fault(&self, query: &str) {
+        let path = format!("/standin/fault?{query}");
+        assert_eq!(http(self.store.address(), "PUT", &path, "", &"").0, 200, "{query}");
+    }
+
+    /// Runs a query on the control port of an instance, which no fault affects.
+    pub fn control_query(&self, instance: usize, query: &str) -> Vec<postgres::SimpleQueryRow> {
+        let address = self.instances[instance].as_ref().expect("started").control_address();
+        let url = format!("host={} port={} user=test dbname=test", address.ip(), address.port());
+        let mut client = postgres::Client::connect(&url, postgres::NoTls).expect("control port");
+        let messages = client.simple_query(query).expect("an answer").into_iter();
+        let rows = messages.filter_map(|message| match message {
+            postgres::SimpleQueryMessage::Row(row) => Some(row),
+            _ => None,
+        });
+        rows.collect()
+    }
+
     /// Waits until a statement runs through a proxy.
     pub fn wait_until_served(&self, proxy: &Proxy) {
         wait_for(&format!("service through host {}", proxy.id), || {
--- a/crates/daemon/tests/fleet/support/proxy.rs
+++ b/crates/daemon/tests/fleet/support/proxy.rs
@@ -57,9 +57,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let path = folder.join(format!("proxy-{}.ini", callers.port()));
         std::fs::write(&path, settings).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_flamingorockd"))
-            .arg("--config")
-            .arg(&path)
+        let child = crate::daemon_command(&path)
             .stdout(Stdio::null())
             .spawn()
             .expect("the daemon can be started");
@@ -109,10 +107,29 @@
 
     /// Asks the process to shut down.
     pub fn terminate(&self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Stops the process without its noticing, until it is resumed.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
+    /// Status page; null if the proxy does not answer.
+    pub fn status(&self) -> serde_json::Value {
+        serde_json::from_str(&self.admin("GET", "/admin/status", "").1).unwrap_or_default()
+    }
+
     /// Waits until the process has ended by itself.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         wait_for("the end of the process", || match self.child.try_wait() {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -47,7 +47,7 @@
 ///
 /// `PUT /standin/fault?NAME=VALUE&...` sets the faults `latency_ms`, `outage` (`true`: no answers,
 /// `errors`: status 500, `false`), `lose_answers` (number of writes that take effect without an
-/// answer), `stale_reads` (`true`: reads return the state before the last change of a key) and
+/// answer), `lose_answers_of` (the only key whose writes count for that), `stale_reads` (`true`: reads return the state before the last change of a key) and
 /// `rate_limit_per_s` (0: no limit). `GET /standin/calls` returns the counts of calls.
 pub struct Store {
     service: Arc<Service>,
@@ -109,7 +109,8 @@
         if let Some(refusal) = state.faults.refuse() {
             return refusal;
         }
-        let reply = match (request.method.as_str(), request.path.strip_prefix("/v1/kv/")) {
+        let key = request.path.strip_prefix("/v1/kv/");
+        let reply = match (request.method.as_str(), key) {
             ("GET", Some(prefix)) if request.query.contains_key("keys") => {
                 return state.keys(prefix, request);
             }
@@ -120,7 +121,7 @@
             _ => return Reply::text(404, "no such path"),
         };
         self.changed.notify_all();
-        state.faults.lose(reply)
+        state.faults.lose(key, reply)
     }
 
     fn set_faults(&self, request: &Request) -> Reply {
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -29,6 +29,8 @@
     outage: Outage,
     /// Writes that are still to take effect without an answer.
     lose_answers: u64,
+    /// The only key whose writes lose their answers; empty for writes of all keys.
+    lose_answers_of: String,
     rate_limit_per_s: u64,
     /// Start of the second whose calls are counted against the limit, and their number.
     rate_window: Option<(Instant, u64)>,
@@ -42,6 +44,7 @@
                 "latency_ms" => self.latency = Duration::from_millis(parse(name, value)?),
                 "stale_reads" => self.stale_reads = parse(name, value)?,
                 "lose_answers" => self.lose_answers = parse(name, value)?,
+                "lose_answers_of" => self.lose_answers_of.clone_from(value),
                 "rate_limit_per_s" => {
                     self.rate_limit_per_s = parse(name, value)?;
                     self.rate_window = None;
@@ -88,9 +91,10 @@
         (window.1 > self.rate_limit_per_s).then(|| Reply::text(429, "rate limit exceeded"))
     }
 
-    /// Replaces the answer to a write that is to be lost.
-    pub(super) fn lose(&mut self, reply: Reply) -> Reply {
-        if self.lose_answers == 0 {
+    /// Replaces the answer to a write of a key, or of a session, that is to be lost.
+    pub(super) fn lose(&mut self, key: Option<&str>, reply: Reply) -> Reply {
+        let is_other = !self.lose_answers_of.is_empty() && key != Some(&self.lose_answers_of);
+        if self.lose_answers == 0 || is_other {
             return reply;
         }
         self.lose_answers -= 1;
--- a/crates/standin/tests/store_keys.rs
+++ b/crates/standin/tests/store_keys.rs
@@ -66,3 +66,13 @@
     assert!(web.delete(key).is_err());
     assert_eq!(web.get(key).0, 404);
 }
+
+/// Guards against lost answers of other keys than the one that a test is about.
+#[test]
+fn answers_are_lost_for_the_named_key_only() {
+    let (_store, web) = start();
+    web.set_fault("lose_answers=1&lose_answers_of=fleet/config");
+    assert_eq!(web.put("/v1/kv/fleet/history/1/a", "a"), (200, "true".to_owned()));
+    assert!(web.try_put("/v1/kv/fleet/config", b"a").is_err());
+    assert_eq!(web.put("/v1/kv/fleet/config", "b"), (200, "true".to_owned()));
+}
