Add a load tool and benchmark

Callers of the load are entities in a table, with systems for waiting, reading, recording and sending on each wake-up.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,22 @@
+//! Load tool and benchmark.
+//!
+//! It starts stand-ins of one database in this process and real proxy processes on loopback, and
+//! measures latency, throughput, memory and idle cost of the proxies. Every loop is bounded in count
+//! or time; processes and files are removed when their owners are dropped, on errors too.
+
+mod arguments;
+mod bench_error;
+mod fleet;
+mod interrupt;
+mod load;
+mod measure;
+mod process_usage;
+mod report;
+mod run;
+mod statement;
+
+pub use arguments::Arguments;
+pub use bench_error::BenchError;
+pub use report::Report;
+pub use run::run;
+pub use statement::Statement;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,10 @@
+//! Callers of the load.
+
+mod answer_scanner;
+mod caller;
+mod caller_key;
+mod event_loop;
+mod session;
+
+pub(crate) use event_loop::{EventLoop, LoadResult};
+pub(crate) use session::{Session, SessionOptions};
--- /dev/null
+++ b/crates/bench/src/load/answer_scanner.rs
@@ -0,0 +1,49 @@
+//! Ends of answers in a stream of bytes.
+
+use std::io;
+
+use bytes::{Buf, BytesMut};
+use postgres_protocol::message::backend::{ERROR_RESPONSE_TAG, Header, READY_FOR_QUERY_TAG};
+
+/// Finds the ends of answers without decoding their contents.
+#[derive(Debug, Default)]
+pub(super) struct AnswerScanner {
+    bytes: BytesMut,
+    has_error: bool,
+}
+
+/// An answer that has arrived in full.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Answer {
+    /// The statement ran.
+    Done,
+    /// The answer holds an error.
+    Failed,
+}
+
+impl AnswerScanner {
+    pub(super) fn receive(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Takes the next answer, if it has arrived in full.
+    pub(super) fn next_answer(&mut self) -> io::Result<Option<Answer>> {
+        while let Some(header) = Header::parse(&self.bytes)? {
+            // The length of a message does not count its tag.
+            let size = 1 + header.len() as usize;
+            if self.bytes.len() < size {
+                break;
+            }
+            self.bytes.advance(size);
+            match header.tag() {
+                ERROR_RESPONSE_TAG => self.has_error = true,
+                READY_FOR_QUERY_TAG if core::mem::take(&mut self.has_error) => {
+                    return Ok(Some(Answer::Failed));
+                }
+                READY_FOR_QUERY_TAG => return Ok(Some(Answer::Done)),
+                _ => {}
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/caller.rs
@@ -0,0 +1,66 @@
+//! A caller that always has one statement in flight.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::time::Instant;
+
+use mio::net::TcpStream;
+
+use super::answer_scanner::{Answer, AnswerScanner};
+
+/// A caller that always has one statement in flight.
+#[derive(Debug)]
+pub(super) struct Caller {
+    pub(super) stream: TcpStream,
+    pub(super) sent_at: Instant,
+    scanner: AnswerScanner,
+    /// Bytes of the statement that have been written.
+    written_bytes: usize,
+}
+
+impl Caller {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        let scanner = AnswerScanner::default();
+        Self { stream, sent_at: Instant::now(), scanner, written_bytes: 0 }
+    }
+
+    /// Begins the next statement.
+    pub(super) fn start(&mut self, messages: &[u8]) -> io::Result<()> {
+        self.sent_at = Instant::now();
+        self.written_bytes = 0;
+        self.write(messages)
+    }
+
+    /// Writes what is left of the statement, as far as the socket takes it.
+    pub(super) fn write(&mut self, messages: &[u8]) -> io::Result<()> {
+        while self.written_bytes < messages.len() {
+            match self.stream.write(&messages[self.written_bytes..]) {
+                Ok(count) => self.written_bytes += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads until the socket is empty. Returns the answer if it is complete.
+    pub(super) fn read(&mut self, scratch: &mut [u8]) -> io::Result<Option<Answer>> {
+        loop {
+            match self.stream.read(scratch) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(count) => {
+                    self.scanner.receive(&scratch[..count]);
+                    // A short read has emptied the socket; the next arrival is a new event.
+                    if count < scratch.len() {
+                        return self.scanner.next_answer();
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    return self.scanner.next_answer();
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/event_loop.rs
@@ -0,0 +1,157 @@
+//! Many callers on one thread.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flamingorock_core::arena::Arena;
+use hdrhistogram::Histogram;
+use mio::{Events, Interest, Poll};
+
+use super::answer_scanner::Answer;
+use super::caller::Caller;
+use super::caller_key::CallerKey;
+use super::session::{Session, SessionOptions};
+use crate::bench_error::BenchError;
+use crate::interrupt;
+use crate::measure::histogram;
+use crate::statement::Statement;
+
+const EVENTS_PER_WAKE_UP: usize = 1024;
+/// Longest time without a look at the interrupt flag.
+const STEP: Duration = Duration::from_millis(50);
+
+/// What a load measured.
+#[derive(Debug)]
+pub(crate) struct LoadResult {
+    pub(crate) elapsed: Duration,
+    pub(crate) failed: u64,
+    pub(crate) latency_ns: Histogram<u64>,
+}
+
+/// Callers in a table, and the systems that run over them on each wake-up.
+pub(crate) struct EventLoop {
+    poll: Poll,
+    callers: Arena<CallerKey, Caller>,
+    messages: Vec<u8>,
+    scratch: Vec<u8>,
+    readable: Vec<CallerKey>,
+    answered: Vec<(CallerKey, Answer)>,
+}
+
+impl EventLoop {
+    /// Opens the sessions of all callers and prepares their statement.
+    pub(crate) fn open(
+        address: SocketAddr,
+        options: SessionOptions,
+        statement: Statement,
+        count: u16,
+    ) -> Result<Self, BenchError> {
+        let encode = BenchError::io("encode a statement");
+        let preparation = statement.preparation().map_err(&encode)?;
+        let messages = statement.messages().map_err(&encode)?.to_vec();
+        let poll = Poll::new().map_err(BenchError::io("create a poll"))?;
+        let mut callers = Arena::new();
+        for _ in 0..count {
+            interrupt::check()?;
+            let mut session = Session::open(address, options)?;
+            if !preparation.is_empty() {
+                session.exchange("a preparation", &preparation)?;
+            }
+            let added = add(&poll, &mut callers, session);
+            added.map_err(BenchError::io("register a caller"))?;
+        }
+        let (scratch, readable, answered) = (vec![0; 16_384], Vec::new(), Vec::new());
+        Ok(Self { poll, callers, messages, scratch, readable, answered })
+    }
+
+    /// Has every caller send its first statement.
+    pub(crate) fn start(&mut self) -> Result<(), BenchError> {
+        let messages = &self.messages;
+        let started = self.callers.iter_mut().try_for_each(|(_, caller)| caller.start(messages));
+        started.map_err(BenchError::io("send a statement"))
+    }
+
+    /// Keeps one statement of each caller in flight for some time.
+    pub(crate) fn run(&mut self, length: Duration) -> Result<LoadResult, BenchError> {
+        let started_at = Instant::now();
+        let end = started_at + length;
+        let mut events = Events::with_capacity(EVENTS_PER_WAKE_UP);
+        let mut result = LoadResult { elapsed: Duration::ZERO, failed: 0, latency_ns: histogram() };
+        loop {
+            interrupt::check()?;
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                result.elapsed = started_at.elapsed();
+                return Ok(result);
+            }
+            let tick = self.wait(&mut events, left.min(STEP)).and_then(|()| self.receive());
+            tick.map_err(BenchError::io("exchange with the proxy"))?;
+            self.record(&mut result);
+            self.send().map_err(BenchError::io("send a statement"))?;
+        }
+    }
+
+    /// Waits for events and finishes writes that the socket had not taken.
+    fn wait(&mut self, events: &mut Events, limit: Duration) -> io::Result<()> {
+        match self.poll.poll(events, Some(limit)) {
+            Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
+            _ => {}
+        }
+        for event in &*events {
+            let key = CallerKey::from(event.token());
+            if let Some(caller) = self.callers.get_mut(key).filter(|_| event.is_writable()) {
+                caller.write(&self.messages)?;
+            }
+            if event.is_readable() {
+                self.readable.push(key);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads what has arrived.
+    fn receive(&mut self) -> io::Result<()> {
+        for key in self.readable.drain(..) {
+            let Some(caller) = self.callers.get_mut(key) else { continue };
+            if let Some(answer) = caller.read(&mut self.scratch)? {
+                self.answered.push((key, answer));
+            }
+        }
+        Ok(())
+    }
+
+    /// Counts the answers and their latency.
+    fn record(&self, result: &mut LoadResult) {
+        let now = Instant::now();
+        for (key, answer) in &self.answered {
+            let Some(caller) = self.callers.get(*key) else { continue };
+            match answer {
+                Answer::Failed => result.failed += 1,
+                Answer::Done => {
+                    let latency = now.saturating_duration_since(caller.sent_at);
+                    result.latency_ns.saturating_record(latency.as_nanos() as u64);
+                }
+            }
+        }
+    }
+
+    /// Sends the next statement of each caller that has its answer.
+    fn send(&mut self) -> io::Result<()> {
+        for (key, _) in self.answered.drain(..) {
+            if let Some(caller) = self.callers.get_mut(key) {
+                caller.start(&self.messages)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn add(poll: &Poll, callers: &mut Arena<CallerKey, Caller>, session: Session) -> io::Result<()> {
+    let stream = session.into_stream();
+    stream.set_nonblocking(true)?;
+    let key = callers.insert(Caller::new(mio::net::TcpStream::from_std(stream)));
+    let Some(caller) = callers.get_mut(key) else { return Ok(()) };
+    let interest = Interest::READABLE | Interest::WRITABLE;
+    poll.registry().register(&mut caller.stream, key.into(), interest)
+}
--- /dev/null
+++ b/crates/bench/src/report/idle_row.rs
@@ -0,0 +1,52 @@
+//! Memory and CPU time of a proxy with idle callers.
+
+use std::time::Duration;
+
+use crate::process_usage::Usage;
+
+/// Memory and CPU time of a proxy with idle callers.
+pub struct IdleRow {
+    pub(crate) callers: usize,
+    pub(crate) state: &'static str,
+    pub(crate) length: Duration,
+    pub(crate) resident_kib: u64,
+    /// All threads of the process.
+    pub(crate) all: Usage,
+    pub(crate) traffic: Usage,
+}
+
+impl IdleRow {
+    pub(crate) const HEADER: [&'static str; 8] = [
+        "callers",
+        "state",
+        "resident, KiB",
+        "per caller, KiB",
+        "CPU, ms per s",
+        "of it traffic thread",
+        "wake-ups per s",
+        "of it traffic thread",
+    ];
+
+    /// Cells of the row; `base` is the row without callers.
+    pub(crate) fn cells(&self, base: Option<&Self>) -> [String; 8] {
+        let length_s = self.length.as_secs_f64();
+        let cpu = |usage: Usage| format!("{:.2}", usage.cpu_s() * 1e3 / length_s);
+        let wake_ups = |usage: Usage| format!("{:.1}", usage.wake_ups as f64 / length_s);
+        let added_kib =
+            self.resident_kib - base.map_or(0, |it| it.resident_kib.min(self.resident_kib));
+        let per_caller = match self.callers {
+            0 => String::new(),
+            callers => format!("{:.2}", added_kib as f64 / callers as f64),
+        };
+        [
+            self.callers.to_string(),
+            self.state.to_owned(),
+            self.resident_kib.to_string(),
+            per_caller,
+            cpu(self.all),
+            cpu(self.traffic),
+            wake_ups(self.all),
+            wake_ups(self.traffic),
+        ]
+    }
+}
