Test what the load sends and how it counts answers

Cause: a load that counts an answer twice, or an error as an answer, gives wrong figures without any sign of it.

--- a/crates/bench/src/load/answer_scanner.rs
+++ b/crates/bench/src/load/answer_scanner.rs
@@ -7,14 +7,14 @@
 
 /// Finds the ends of answers without decoding their contents.
 #[derive(Debug, Default)]
-pub(super) struct AnswerScanner {
+pub struct AnswerScanner {
     bytes: BytesMut,
     has_error: bool,
 }
 
 /// An answer that has arrived in full.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum Answer {
+pub enum Answer {
     /// The statement ran.
     Done,
     /// The answer holds an error.
@@ -22,12 +22,17 @@
 }
 
 impl AnswerScanner {
-    pub(super) fn receive(&mut self, bytes: &[u8]) {
+    /// Takes received bytes.
+    pub fn receive(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
 
     /// Takes the next answer, if it has arrived in full.
-    pub(super) fn next_answer(&mut self) -> io::Result<Option<Answer>> {
+    ///
+    /// # Errors
+    ///
+    /// The length of a message is impossible.
+    pub fn next_answer(&mut self) -> io::Result<Option<Answer>> {
         while let Some(header) = Header::parse(&self.bytes)? {
             // The length of a message does not count its tag.
             let size = 1 + header.len() as usize;
--- a/crates/bench/src/statement.rs
+++ b/crates/bench/src/statement.rs
@@ -37,6 +37,10 @@
     ];
 
     /// Messages that a session sends once before it runs the statement.
+    ///
+    /// # Errors
+    ///
+    /// The messages cannot be encoded.
     pub fn preparation(self) -> io::Result<BytesMut> {
         let mut bytes = BytesMut::new();
         if self == Self::PreparedSelect {
@@ -47,6 +51,10 @@
     }
 
     /// Messages that run the statement.
+    ///
+    /// # Errors
+    ///
+    /// The messages cannot be encoded.
     pub fn messages(self) -> io::Result<BytesMut> {
         let mut bytes = BytesMut::new();
         match self {
--- /dev/null
+++ b/crates/bench/tests/protocol.rs
@@ -0,0 +1,36 @@
+//! What the load sends, and how it counts answers.
+
+use flamingorock_bench::{Answer, AnswerScanner, Statement};
+
+/// Guards against a load that runs other statements than its report names.
+#[test]
+fn statements_are_encoded_as_documented() {
+    let text = |bytes: &[u8]| bytes.escape_ascii().to_string();
+    let mut lines = Vec::new();
+    for statement in Statement::ALL {
+        let preparation = statement.preparation().expect("it can be encoded");
+        let messages = statement.messages().expect("it can be encoded");
+        lines.push(format!("{statement}: {} | {}", text(&preparation), text(&messages)));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against answers that are counted twice or not at all when they arrive in pieces, and
+/// against errors that count as answers.
+#[test]
+fn answers_are_counted_once() {
+    let done = b"C\0\0\0\x0dSELECT 1\0Z\0\0\0\x05I";
+    let failed = b"E\0\0\0\x05\0Z\0\0\0\x05I";
+    let bytes = [&done[..], failed, done].concat();
+    for piece_bytes in [1, 3, bytes.len()] {
+        let mut scanner = AnswerScanner::default();
+        let mut answers = Vec::new();
+        for piece in bytes.chunks(piece_bytes) {
+            scanner.receive(piece);
+            while let Some(answer) = scanner.next_answer().expect("the messages are well-formed") {
+                answers.push(answer);
+            }
+        }
+        assert_eq!(answers, [Answer::Done, Answer::Failed, Answer::Done], "{piece_bytes} bytes");
+    }
+}
