Report the CPU time of connecting

Cause: the check of a service's limit of callers runs over the table of callers, so that the cost of a connect rises with their number; no figure showed it.

Change: the table of idle callers has the CPU time of the traffic thread for each caller that connected, and for its first statement.

--- a/crates/bench/src/report/idle_row.rs
+++ b/crates/bench/src/report/idle_row.rs
@@ -8,6 +8,8 @@
 pub struct IdleRow {
     pub(crate) callers: usize,
     pub(crate) state: &'static str,
+    /// CPU time of the traffic thread for each caller that connected or ran its statement before.
+    pub(crate) before_us: Option<f64>,
     pub(crate) length: Duration,
     pub(crate) resident_kib: u64,
     /// All threads of the process.
@@ -16,9 +18,10 @@
 }
 
 impl IdleRow {
-    pub(crate) const HEADER: [&'static str; 8] = [
+    pub(crate) const HEADER: [&'static str; 9] = [
         "callers",
         "state",
+        "CPU of connect or statement, us per caller",
         "resident, KiB",
         "per caller, KiB",
         "CPU, ms per s",
@@ -27,8 +30,12 @@
         "of it traffic thread",
     ];
 
+    pub(crate) fn with_cpu(self, us: f64) -> Self {
+        Self { before_us: Some(us), ..self }
+    }
+
     /// Cells of the row; `base` is the row without callers.
-    pub(crate) fn cells(&self, base: Option<&Self>) -> [String; 8] {
+    pub(crate) fn cells(&self, base: Option<&Self>) -> [String; 9] {
         let length_s = self.length.as_secs_f64();
         let cpu = |usage: Usage| format!("{:.2}", usage.cpu_s() * 1e3 / length_s);
         let wake_ups = |usage: Usage| format!("{:.1}", usage.wake_ups as f64 / length_s);
@@ -41,6 +48,7 @@
         [
             self.callers.to_string(),
             self.state.to_owned(),
+            self.before_us.map_or_else(String::new, |us| format!("{us:.0}")),
             self.resident_kib.to_string(),
             per_caller,
             cpu(self.all),
