Measure the slopes of the machines on virtual time

The capacity of the fleet at the long-run sizes was never worked out, because nobody had measured what a statement, a heartbeat, a status call or a configuration change costs.

The example `capacity` of flamingorock-core drives `Traffic` and `Control` on virtual time. It measures processor time of the thread, memory through a counting allocator, sizes of heartbeats with flamingorock-peer, parsing with flamingorock-config, and runs a fleet of 500 `Control` machines with 780 databases.

--- /dev/null
+++ b/crates/core/examples/capacity/fleet_runs.rs
@@ -0,0 +1,170 @@
+//! Runs of a fleet of 500 hosts with 780 databases.
+
+use std::collections::BTreeMap;
+
+use crate::fixture::configuration;
+use crate::fleet::{Fleet, Totals};
+use crate::meter::RUNS;
+use crate::report::{heading, line};
+
+const HOSTS: u16 = 500;
+const DATABASES: usize = 780;
+const SECOND_US: u64 = 1_000_000;
+const REST_US: u64 = 10 * SECOND_US;
+/// Runs at the same time.
+const PARALLEL_RUNS: usize = 3;
+
+type Figures = BTreeMap<&'static str, f64>;
+
+pub fn run() {
+    heading("Fleet: 500 hosts, 780 databases, virtual time");
+    let seeds: Vec<u64> = (1..=RUNS as u64).collect();
+    let mut all: Vec<Figures> = Vec::new();
+    for seeds in seeds.chunks(PARALLEL_RUNS) {
+        std::thread::scope(|scope| {
+            let threads: Vec<_> =
+                seeds.iter().map(|&seed| scope.spawn(move || measure(seed))).collect();
+            for thread in threads {
+                let figures = thread.join().expect("the run ends");
+                println!("a run has ended: {figures:.1?}");
+                all.push(figures);
+            }
+        });
+    }
+    for &name in all[0].keys() {
+        let values: Vec<f64> = all.iter().filter_map(|run| run.get(name).copied()).collect();
+        line(name, "", &values);
+    }
+}
+
+fn measure(seed: u64) -> Figures {
+    let mut figures = Figures::new();
+    let mut fleet = Fleet::new(HOSTS, DATABASES, seed);
+    start(&mut fleet, &mut figures);
+    rest(&mut fleet, &mut figures);
+    change_configuration(&mut fleet, &mut figures);
+    change_owner(&mut fleet, &mut figures);
+    lose_store(&mut fleet, &mut figures);
+    let racks: [(&str, &str, Vec<usize>); 2] = [
+        ("5a rack, numbers spread: all served again, ms", "5b served after 5 s", spread(20)),
+        ("6a rack, numbers in a row: all served again, ms", "6b served after 5 s", row(20)),
+    ];
+    for (name, after_name, hosts) in racks {
+        lose_hosts(&mut fleet, &mut figures, name, after_name, &hosts);
+    }
+    let centre: Vec<usize> = (0..usize::from(HOSTS)).filter(|host| host % 4 == 1).collect();
+    let (name, after) = ("7a data centre: all served again, ms", "7b served after 5 s");
+    lose_hosts(&mut fleet, &mut figures, name, after, &centre);
+    figures
+}
+
+fn spread(count: usize) -> Vec<usize> {
+    (0..count).map(|index| index * 25 + 7).collect()
+}
+
+fn row(count: usize) -> Vec<usize> {
+    (200..200 + count).collect()
+}
+
+fn millis(time_us: Option<u64>) -> f64 {
+    time_us.map_or(f64::INFINITY, |time_us| time_us as f64 / 1e3)
+}
+
+fn start(fleet: &mut Fleet, figures: &mut Figures) {
+    let time_us = fleet.run_until(120 * SECOND_US, |fleet| fleet.served_count() == DATABASES);
+    figures.insert("0a cold start: all databases served, ms", millis(time_us));
+    let known_us = fleet.run_until(120 * SECOND_US, |fleet| {
+        fleet.views().all(|(_, view)| view.owners.len() == DATABASES)
+    });
+    figures.insert("0b cold start: and known everywhere, further ms", millis(known_us));
+    let peak = fleet.store.peak_between(0, fleet.now_us);
+    figures.insert("0c cold start: greatest store calls in 1 s", peak as f64);
+    fleet.run_for(30 * SECOND_US);
+}
+
+fn rest(fleet: &mut Fleet, figures: &mut Figures) {
+    let start_us = fleet.now_us;
+    fleet.totals = Totals::default();
+    fleet.run_for(REST_US);
+    let totals = fleet.totals;
+    let per_node = |value: f64| value / f64::from(HOSTS) / (REST_US / SECOND_US) as f64;
+    figures.insert("1a rest: datagrams sent per node and s", per_node(totals.datagrams as f64));
+    figures.insert("1b rest: bytes sent per node and s", per_node(totals.datagram_bytes as f64));
+    let size = totals.datagram_bytes as f64 / totals.datagrams as f64;
+    figures.insert("1c rest: bytes per datagram", size);
+    figures.insert("1d rest: control CPU, us per node and s", per_node(totals.cpu_us));
+    figures.insert("1e rest: ticks per node and s", per_node(totals.ticks as f64));
+    let calls = fleet.store.calls_between(start_us, fleet.now_us);
+    let per_second = |value: u64| value as f64 / (REST_US / SECOND_US) as f64;
+    figures.insert("1f rest: store reads per s", per_second(calls.reads));
+    figures.insert("1g rest: store writes per s", per_second(calls.writes));
+    figures.insert("1h rest: watches open", fleet.store.watches.len() as f64);
+}
+
+fn change_configuration(fleet: &mut Fleet, figures: &mut Figures) {
+    let start_us = fleet.now_us;
+    fleet.totals = Totals::default();
+    fleet.apply(configuration(2, DATABASES, 5));
+    let time_us = fleet.run_until(30 * SECOND_US, |fleet| {
+        fleet.views().all(|(_, view)| view.configuration.version == 2)
+    });
+    figures.insert("2a configuration: in force everywhere, ms", millis(time_us));
+    figures.insert("2b configuration: datagrams meanwhile", fleet.totals.datagrams as f64);
+    figures.insert("2c configuration: documents sent", fleet.totals.documents as f64);
+    let peak = fleet.store.peak_between(start_us, fleet.now_us);
+    figures.insert("2d configuration: greatest store calls in 1 s", peak as f64);
+    fleet.run_for(5 * SECOND_US);
+}
+
+fn change_owner(fleet: &mut Fleet, figures: &mut Figures) {
+    let database = fleet.configuration.databases[11].id;
+    let Some((owner, epoch)) = fleet.server(database) else { return };
+    let start_us = fleet.now_us;
+    fleet.kill(usize::from(owner.0 - 1));
+    let time_us = fleet.run_until(60 * SECOND_US, |fleet| {
+        fleet.server(database).is_some_and(|(_, present)| present > epoch)
+    });
+    figures.insert("3a owner killed: database served again, ms", millis(time_us));
+    fleet.totals = Totals::default();
+    let known_us = fleet.run_until(60 * SECOND_US, |fleet| {
+        fleet
+            .views()
+            .all(|(_, view)| view.owner_of(database).is_some_and(|route| route.epoch > epoch))
+    });
+    figures.insert("3b owner killed: known everywhere, further ms", millis(known_us));
+    figures.insert("3c owner killed: datagrams meanwhile", fleet.totals.datagrams as f64);
+    fleet.run_for(5 * SECOND_US);
+    let peak = fleet.store.peak_between(start_us, fleet.now_us);
+    figures.insert("3d owner killed: greatest store calls in 1 s", peak as f64);
+}
+
+fn lose_store(fleet: &mut Fleet, figures: &mut Figures) {
+    fleet.store.down = true;
+    let start_us = fleet.now_us;
+    fleet.run_for(30 * SECOND_US);
+    let calls = fleet.store.calls_between(start_us + 15 * SECOND_US, fleet.now_us);
+    let rate = (calls.reads + calls.writes) as f64 / 15.0;
+    figures.insert("4a store down: calls per s after 15 s", rate);
+    fleet.store.down = false;
+    let start_us = fleet.now_us;
+    fleet.run_for(30 * SECOND_US);
+    let peak = fleet.store.peak_between(start_us, fleet.now_us);
+    figures.insert("4b store back: greatest calls in 1 s", peak as f64);
+}
+
+fn lose_hosts(
+    fleet: &mut Fleet,
+    figures: &mut Figures,
+    name: &'static str,
+    after_name: &'static str,
+    hosts: &[usize],
+) {
+    hosts.iter().for_each(|&host| fleet.kill(host));
+    let start_us = fleet.now_us;
+    fleet.run_for(5 * SECOND_US);
+    figures.insert(after_name, fleet.served_count() as f64);
+    fleet.run_until(60 * SECOND_US, |fleet| fleet.served_count() == DATABASES);
+    let is_served = fleet.served_count() == DATABASES;
+    figures.insert(name, millis(is_served.then_some(fleet.now_us - start_us)));
+    fleet.run_for(5 * SECOND_US);
+}
--- /dev/null
+++ b/crates/core/examples/capacity/store.rs
@@ -0,0 +1,105 @@
+//! A key-value service that counts its calls.
+
+use std::collections::BTreeMap;
+
+use flamingorock_core::control::{OwnerRecord, StoreAnswer, StoreOperation};
+use flamingorock_core::{DatabaseId, StoreCallKey};
+
+/// Calls of one second of virtual time.
+#[derive(Clone, Copy, Default)]
+pub struct Calls {
+    pub reads: u64,
+    pub writes: u64,
+}
+
+/// The service. Watches stay open until the document changes or their deadline passes.
+#[derive(Default)]
+pub struct Store {
+    pub down: bool,
+    pub document: Option<(u64, u64, String)>,
+    pub watches: Vec<(usize, StoreCallKey)>,
+    /// Calls by second.
+    pub calls: BTreeMap<u64, Calls>,
+    records: BTreeMap<DatabaseId, (u64, OwnerRecord)>,
+    last_index: u64,
+}
+
+impl Store {
+    /// Writes a document and returns the watches that are to be answered.
+    pub fn apply(&mut self, version: u64, text: &str) -> Vec<(usize, StoreCallKey)> {
+        self.last_index += 1;
+        self.document = Some((self.last_index, version, text.to_owned()));
+        std::mem::take(&mut self.watches)
+    }
+
+    /// Carries out a call; `None` if its answer comes later or not at all.
+    pub fn call(
+        &mut self,
+        now_us: u64,
+        host: usize,
+        call: StoreCallKey,
+        operation: &StoreOperation,
+    ) -> Option<StoreAnswer> {
+        let calls = self.calls.entry(now_us / 1_000_000).or_default();
+        match operation {
+            StoreOperation::SwapOwner { .. } => calls.writes += 1,
+            _ => calls.reads += 1,
+        }
+        if self.down {
+            return Some(StoreAnswer::Failed);
+        }
+        Some(match *operation {
+            StoreOperation::GetConfiguration => self.configuration(),
+            StoreOperation::WatchConfiguration { index } => {
+                if self.document.as_ref().is_some_and(|document| document.0 == index) {
+                    self.watches.push((host, call));
+                    return None;
+                }
+                self.configuration()
+            }
+            StoreOperation::GetOwner { database } => {
+                let entry = self.records.get(&database);
+                let (index, record) = entry.map_or((0, None), |&(i, record)| (i, Some(record)));
+                StoreAnswer::Owner { index, record }
+            }
+            StoreOperation::SwapOwner { database, index, record } => {
+                self.swap(database, index, record)
+            }
+        })
+    }
+
+    fn swap(&mut self, database: DatabaseId, index: u64, record: OwnerRecord) -> StoreAnswer {
+        if self.records.get(&database).map_or(0, |&(present, _)| present) != index {
+            return StoreAnswer::Conflict;
+        }
+        self.last_index += 1;
+        self.records.insert(database, (self.last_index, record));
+        StoreAnswer::Swapped
+    }
+
+    /// The document as an answer.
+    pub fn configuration(&self) -> StoreAnswer {
+        let document = self.document.as_ref();
+        StoreAnswer::Configuration {
+            index: document.map_or(0, |document| document.0),
+            document: document.map(|(_, version, text)| (*version, text.clone())),
+        }
+    }
+
+    /// Calls from one second to before another.
+    pub fn calls_between(&self, start_us: u64, end_us: u64) -> Calls {
+        let range = start_us / 1_000_000..end_us.div_ceil(1_000_000);
+        let mut sum = Calls::default();
+        for calls in self.calls.range(range).map(|(_, calls)| calls) {
+            sum.reads += calls.reads;
+            sum.writes += calls.writes;
+        }
+        sum
+    }
+
+    /// Most calls in one second of a period.
+    pub fn peak_between(&self, start_us: u64, end_us: u64) -> u64 {
+        let range = start_us / 1_000_000..end_us.div_ceil(1_000_000);
+        self.calls.range(range).map(|(_, c)| c.reads + c.writes).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/core/examples/capacity/view_cost.rs
@@ -0,0 +1,42 @@
+//! Processor time of a change of the view at the traffic machine.
+
+use std::sync::Arc;
+
+use flamingorock_core::traffic::Event;
+
+use crate::fixture::{configuration, view};
+use crate::meter::{repeat, timed};
+use crate::report::{heading, line};
+use crate::traffic_bench::{HOST, Load, OTHER, TrafficBench};
+
+const CHANGES: u64 = 50;
+
+pub fn run() {
+    heading("Traffic: processor time of a view change that changes nothing for the thread");
+    for (callers, in_flight, served) in
+        [(0, 0, 2), (4_800, 0, 2), (4_800, 4_800, 2), (4_800, 0, 16), (4_800, 0, 156)]
+    {
+        let values = repeat(|| measure(callers, in_flight, served));
+        let name = format!("{callers} callers, {in_flight} in flight, {served} of 780 served");
+        line(&name, "us", &values);
+    }
+}
+
+fn measure(callers: usize, in_flight: usize, served: usize) -> f64 {
+    let owner = if in_flight > 0 { OTHER } else { HOST };
+    let view = view(configuration(1, 780, 2), owner, served);
+    let mut bench = TrafficBench::new(view.clone());
+    let callers = bench.open_callers(callers);
+    bench.holds = true;
+    for &caller in callers.iter().take(in_flight) {
+        bench.request(caller, Load::Write);
+    }
+    let views = (0..CHANGES).map(|number| {
+        let mut next = view.clone();
+        next.sequence = 2 + number;
+        Event::ViewChanged(Arc::new(next))
+    });
+    let views: Vec<Event> = views.collect();
+    let cpu_us = timed(|| views.into_iter().for_each(|event| bench.feed(event)));
+    cpu_us / CHANGES as f64
+}
