--- a/crates/core/examples/capacity/main.rs
+++ b/crates/core/examples/capacity/main.rs
@@ -14,6 +14,7 @@
 mod meter;
 mod node_bench;
 mod report;
+mod restart_runs;
 mod store;
 mod traffic_bench;
 mod traffic_cost;
@@ -42,4 +43,7 @@
     if is_wanted("fleet") {
         fleet_runs::run();
     }
+    if is_wanted("restart") {
+        restart_runs::run();
+    }
 }
--- a/crates/core/examples/capacity/node_bench.rs
+++ b/crates/core/examples/capacity/node_bench.rs
@@ -165,8 +165,8 @@
 
     fn perform(&mut self, action: Action) {
         let event = match action {
-            Action::CallStore { call, operation, .. } => {
-                let answer = self.store.call(self.now_us, 0, call, &operation);
+            Action::CallStore { call, operation, deadline_us } => {
+                let answer = self.store.call(self.now_us, 0, call, &operation, deadline_us);
                 answer.map(|answer| Event::StoreAnswered { call, answer })
             }
             Action::CallGroup { call, instance, operation, .. } => {
--- a/crates/core/examples/capacity/store.rs
+++ b/crates/core/examples/capacity/store.rs
@@ -12,12 +12,19 @@
     pub writes: u64,
 }
 
+/// A call that waits for a change of the document.
+pub struct Watch {
+    pub host: usize,
+    pub call: StoreCallKey,
+    pub deadline_us: u64,
+}
+
 /// The service. Watches stay open until the document changes or their deadline passes.
 #[derive(Default)]
 pub struct Store {
     pub down: bool,
     pub document: Option<(u64, u64, String)>,
-    pub watches: Vec<(usize, StoreCallKey)>,
+    pub watches: Vec<Watch>,
     /// Calls by second.
     pub calls: BTreeMap<u64, Calls>,
     records: BTreeMap<DatabaseId, (u64, OwnerRecord)>,
@@ -26,7 +33,7 @@
 
 impl Store {
     /// Writes a document and returns the watches that are to be answered.
-    pub fn apply(&mut self, version: u64, text: &str) -> Vec<(usize, StoreCallKey)> {
+    pub fn apply(&mut self, version: u64, text: &str) -> Vec<Watch> {
         self.last_index += 1;
         self.document = Some((self.last_index, version, text.to_owned()));
         std::mem::take(&mut self.watches)
@@ -39,6 +46,7 @@
         host: usize,
         call: StoreCallKey,
         operation: &StoreOperation,
+        deadline_us: u64,
     ) -> Option<StoreAnswer> {
         let calls = self.calls.entry(now_us / 1_000_000).or_default();
         match operation {
@@ -52,7 +60,8 @@
             StoreOperation::GetConfiguration => self.configuration(),
             StoreOperation::WatchConfiguration { index } => {
                 if self.document.as_ref().is_some_and(|document| document.0 == index) {
-                    self.watches.push((host, call));
+                    self.watches.retain(|watch| watch.deadline_us > now_us);
+                    self.watches.push(Watch { host, call, deadline_us });
                     return None;
                 }
                 self.configuration()
