Answer callers that keep sending during a shutdown, and return every result code

A driver that reads the last message together with the end of the connection reported "connection closed" instead of 57P01. FR2016 and FR3004 were documented and never returned. A write whose first probe round found the replicas slightly behind waited for a whole millisecond, because pollers round 500 us up.

Change: the caller stays in the table until the I/O layer reports it closed; the connection ends 100 ms after the last message; an idle transaction and a primary without connections have their own codes; probes go at once while the wait is below the resolution of the poller; each monitor connection has one entry in the deadlines instead of two per probe.

--- a/crates/core/src/traffic/action.rs
+++ b/crates/core/src/traffic/action.rs
@@ -30,8 +30,8 @@
         /// Transaction status of the caller's session from now on.
         status: TransactionStatus,
     },
-    /// Tell the caller the reason and close its connection at this transaction boundary. Requests that
-    /// arrive afterwards do not run.
+    /// Tell the caller the reason and close its connection, and report it as closed. Requests that arrive
+    /// before that may still be passed on; the action is then repeated after the answer.
     CloseCaller {
         /// The caller.
         caller: CallerKey,
--- a/crates/core/src/traffic/systems/admission.rs
+++ b/crates/core/src/traffic/systems/admission.rs
@@ -102,6 +102,9 @@
             .filter(|row| row.origin == origin && row.database == request.database);
         return match transaction {
             Some(_) => Admission::JoinTransaction,
+            None if tables.idle_timeouts.contains(&key) => {
+                Admission::Refuse(ResultCode::IdleTransactionTimeout)
+            }
             None => Admission::Refuse(ResultCode::TransactionLost),
         };
     }
--- a/crates/core/src/traffic/systems/delivery.rs
+++ b/crates/core/src/traffic/systems/delivery.rs
@@ -71,15 +71,15 @@
     caller.transaction.status()
 }
 
-/// Disconnects a caller at a transaction boundary if the proxy is shutting down. The caller is forgotten
-/// at once: a request that crosses the close on its way does not run, as the close says.
+/// Disconnects a caller at a transaction boundary if the proxy is shutting down. The caller
+/// stays in the table until the I/O layer reports it closed, so that requests that arrive before are
+/// still served.
 pub(super) fn close_if_draining<P>(tables: &mut Tables<P>, caller_key: CallerKey) {
     if !tables.view.draining {
         return;
     }
     if tables.callers.get(caller_key).is_some_and(|caller| caller.is_at_boundary()) {
         let code = ResultCode::ShuttingDown;
-        tables.callers.remove(caller_key);
         tables.actions.push(Action::CloseCaller { caller: caller_key, code });
     }
 }
--- a/crates/core/src/traffic/systems/expiry.rs
+++ b/crates/core/src/traffic/systems/expiry.rs
@@ -47,6 +47,7 @@
     }
     while let Some(key) = tables.transaction_deadlines.pop_due(now_us) {
         finishing::abort_transaction(tables, key);
+        tables.remember_idle_timeout(key);
     }
 }
 
@@ -59,8 +60,12 @@
         }
         WorkState::Queued => {
             let database = tables.databases.get(&work.request.database);
-            let has_primary = database.is_some_and(|database| database.primary().is_some());
-            let code = if has_primary { ResultCode::QueueDeadline } else { ResultCode::NoPrimary };
+            let primary = database.and_then(|database| database.primary());
+            let code = match primary {
+                None => ResultCode::NoPrimary,
+                Some(primary) if primary.open == primary.opening => ResultCode::BackendUnavailable,
+                Some(_) => ResultCode::QueueDeadline,
+            };
             finishing::refuse(tables, key, code);
         }
         WorkState::Running { connection, cancelled: false, .. } => {
--- a/crates/core/src/traffic/systems/probing.rs
+++ b/crates/core/src/traffic/systems/probing.rs
@@ -14,8 +14,10 @@
 const ACTIVE_TIME_US: u64 = 1_000_000;
 /// Interval of probes of an instance that does not confirm the term.
 const FAILING_INTERVAL_US: u64 = 50_000;
+/// Resolution of the pollers that wait for deadlines.
+const POLL_RESOLUTION_US: u64 = 1_000;
 /// Shortest and longest interval of probes that wait for a lagging replica.
-const LAGGING_INTERVAL_US: u64 = 500;
+const LAGGING_INTERVAL_US: u64 = 1_000;
 const LAGGING_INTERVAL_LIMIT_US: u64 = 20_000;
 
 /// Sends the probes that are due.
@@ -70,6 +72,8 @@
 ) -> u64 {
     match instance.probed_us.checked_sub(database.newest_wait_us) {
         None => 0,
+        // Pollers round waits up to whole milliseconds, which would cost more than a probe.
+        Some(waited_us) if waited_us < POLL_RESOLUTION_US => 0,
         Some(waited_us) => (waited_us / 4).clamp(LAGGING_INTERVAL_US, LAGGING_INTERVAL_LIMIT_US),
     }
 }
--- a/crates/core/src/traffic/tables.rs
+++ b/crates/core/src/traffic/tables.rs
@@ -44,6 +44,9 @@
     pub(crate) connections: Arena<ConnectionKey, Connection>,
     pub(crate) transactions: Arena<TransactionKey, Transaction>,
     pub(crate) transaction_deadlines: Deadlines<TransactionKey>,
+    /// Transactions that were rolled back lately for being idle, so that their next statement is told
+    /// why it is refused.
+    pub(crate) idle_timeouts: VecDeque<TransactionKey>,
     pub(crate) next_probe_number: u64,
 
     // Both sides.
@@ -73,6 +76,7 @@
             connections: Arena::new(),
             transactions: Arena::new(),
             transaction_deadlines: Deadlines::new(),
+            idle_timeouts: VecDeque::new(),
             next_probe_number: 1,
             retry_budget: RetryBudget::new(),
             inbound: VecDeque::new(),
@@ -80,6 +84,16 @@
         }
     }
 
+    /// Remembers a transaction that was rolled back for being idle. Old ones are forgotten, which bounds
+    /// the memory; their next statement is told that the transaction was lost.
+    pub(crate) fn remember_idle_timeout(&mut self, key: TransactionKey) {
+        const CAPACITY: usize = 1_024;
+        if self.idle_timeouts.len() == CAPACITY {
+            self.idle_timeouts.pop_front();
+        }
+        self.idle_timeouts.push_back(key);
+    }
+
     /// Sends a message to the thread that it is for. A message to this thread is handled in the same
     /// tick.
     pub(crate) fn send(&mut self, host: HostId, message: TrafficMessage) {
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -55,3 +55,34 @@
     bench.advance(4_998_000);
     insta::assert_snapshot!(bench.transcript);
 }
+
+/// Guards against a transaction that holds its connection for ever, and against a caller that is told
+/// of a lost connection when its transaction was rolled back for being idle.
+#[test]
+fn idle_transaction_is_rolled_back() {
+    let mut bench = bench();
+    let term = Term::first_of_epoch(1);
+    let caller = bench.caller();
+    let run = bench.request(caller, StatementKind::Begin, "begin");
+    let probes = bench.answer(&run, TransactionStatus::Open);
+    bench.answer_probes(&probes, term, [7, 7, 7]);
+    bench.transcript.clear();
+    bench.advance(30_000_000);
+    bench.request(caller, StatementKind::Write, "insert");
+    bench.request(caller, StatementKind::EndTransaction, "commit");
+    insta::assert_snapshot!(bench.transcript);
+}
+
+/// Guards against a request that is told of a full queue when no connection to the primary could be
+/// opened.
+#[test]
+fn request_without_a_connection_is_not_run() {
+    let mut bench = bench();
+    let caller = bench.caller();
+    bench.lose_connections();
+    bench.transcript.clear();
+    bench.request(caller, StatementKind::Write, "insert");
+    bench.advance(5_000_000);
+    let refusals = bench.transcript.lines().filter(|line| line.contains("Refuse"));
+    insta::assert_snapshot!(refusals.collect::<Vec<_>>().join("\n"));
+}
--- a/crates/core/tests/traffic_support/mod.rs
+++ b/crates/core/tests/traffic_support/mod.rs
@@ -9,7 +9,8 @@
     Configuration, Database, Durability, Instance, Rank, Service,
 };
 use flamingorock_core::traffic::{
-    Action, CallerProfile, CallerRequest, Event, FloorPriority, Traffic, TrafficConfig,
+    Action, CallerProfile, CallerRequest, ConnectionLoss, Event, FloorPriority, Traffic,
+    TrafficConfig,
 };
 use flamingorock_core::{
     CallerKey, DatabaseId, HostId, InstanceId, InstanceReport, InstanceRole, Lsn, OwnerRoute,
@@ -143,6 +144,14 @@
         keys.map(|index| flamingorock_core::ConnectionKey::from_parts(index, 0)).collect()
     }
 
+    /// Loses every connection to the instances.
+    pub fn lose_connections(&mut self) {
+        for connection in self.traffic_connections() {
+            let reason = ConnectionLoss::Broken;
+            self.step(Event::ConnectionLost { connection, reason });
+        }
+    }
+
     /// Sends a request of a caller.
     pub fn request(&mut self, caller: CallerKey, kind: StatementKind, text: &str) -> Vec<Action> {
         let request = CallerRequest {
--- a/crates/core/tests/world/hosts.rs
+++ b/crates/core/tests/world/hosts.rs
@@ -169,6 +169,8 @@
             traffic::Action::CloseCaller { caller, .. } => {
                 let at_us = self.now_us;
                 self.reply(host, caller, Reply::Closed { at_us });
+                self.hosts[host].callers.remove(&caller);
+                self.hosts[host].traffic.push(traffic::Event::CallerClosed { caller });
             }
             traffic::Action::Send { host: to, request, message } => {
                 self.send_traffic(host, to, request, message);
--- a/crates/daemon/src/monitors.rs
+++ b/crates/daemon/src/monitors.rs
@@ -87,9 +87,9 @@
             Some(&key) => key,
             None => self.add(target),
         };
-        io.deadlines.add(call.deadline_us, key.into());
         let monitor = self.monitors.get_mut(key).expect("the monitors by instance are present");
         monitor.calls.push_back(call);
+        monitor.arm(io, key);
         self.advance(io, key, report);
     }
 
@@ -130,14 +130,19 @@
     ) {
         let key = token.into();
         let Some(monitor) = self.monitors.get_mut(key) else { return };
+        monitor.disarm();
         if monitor.is_stale(io.now_us) {
             return self.close(io, key);
         }
+        if !monitor.is_due(io.now_us) {
+            return monitor.arm(io, key);
+        }
         let expired = monitor.expire(io);
         for tag in expired {
             io.metrics.monitor_failures.inc();
             report(tag, Err(ProbeFailure::Timeout));
         }
+        monitor.arm(io, key);
         self.advance(io, key, report);
     }
 
--- a/crates/daemon/src/monitors/monitor.rs
+++ b/crates/daemon/src/monitors/monitor.rs
@@ -44,6 +44,8 @@
     connection: Option<Connection>,
     pub(super) calls: VecDeque<Call<T>>,
     idle_deadline_us: u64,
+    /// Earliest entry of this monitor in the thread's deadlines.
+    armed_us: u64,
 }
 
 /// The connection is of no further use.
@@ -58,9 +60,30 @@
             connection: None,
             calls: VecDeque::new(),
             idle_deadline_us: u64::MAX,
+            armed_us: u64::MAX,
         }
     }
 
+    /// Has the thread wake up for the earliest deadline, unless it does so already.
+    pub(super) fn arm(&mut self, io: &mut IoContext, key: MonitorSocketKey) {
+        let calls = self.calls.iter().map(|call| call.deadline_us);
+        let next_us = calls.chain([self.idle_deadline_us]).min().unwrap_or(u64::MAX);
+        if next_us < self.armed_us {
+            self.armed_us = next_us;
+            io.deadlines.add(next_us, key.into());
+        }
+    }
+
+    /// Notes that the entry in the thread's deadlines has come due.
+    pub(super) fn disarm(&mut self) {
+        self.armed_us = u64::MAX;
+    }
+
+    /// Whether a deadline has passed.
+    pub(super) fn is_due(&self, now_us: u64) -> bool {
+        self.calls.iter().any(|call| call.deadline_us <= now_us)
+    }
+
     /// Brings the connection as far as it goes without waiting.
     pub(super) fn advance(
         &mut self,
@@ -131,10 +154,12 @@
                 self.idle_deadline_us = u64::MAX;
             } else if self.idle_deadline_us == u64::MAX {
                 self.idle_deadline_us = io.now_us + IDLE_LIMIT_US;
-                io.deadlines.add(self.idle_deadline_us, key.into());
+                self.arm(io, key);
             }
         }
-        connection.stream.flush().map_err(|_| Lost)?;
+        if let Some(connection) = &mut self.connection {
+            connection.stream.flush().map_err(|_| Lost)?;
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/traffic/callers.rs
+++ b/crates/daemon/src/traffic/callers.rs
@@ -203,12 +203,14 @@
     /// Handles the deadline of a connection.
     pub fn expire(&mut self, io: &mut IoContext, machine: &mut Driven<Traffic>, token: Token) {
         let key = CallerSocketKey::from(token);
-        let Some(caller) = self.sockets.get(key) else { return };
+        let Some(caller) = self.sockets.get_mut(key) else { return };
         if !caller.is_overdue(io.now_us) {
             return;
         }
         if caller.is_parting() {
             self.part(io, machine, key);
+        } else if caller.finish(io.now_us) {
+            io.deadlines.extend(caller.deadline_us, key.into());
         } else {
             self.remove(io, machine, key);
         }
--- a/crates/daemon/src/traffic/callers/caller.rs
+++ b/crates/daemon/src/traffic/callers/caller.rs
@@ -19,6 +19,10 @@
 /// Time until the startup message must have arrived.
 const STARTUP_LIMIT_US: u64 = 10_000_000;
 
+/// Time between the last message to a caller and the end of the connection. A driver that sees both at
+/// once may report the end instead of the message.
+const FINISH_DELAY_US: u64 = 100_000;
+
 /// Time that the caller gets to read the last answer and to close its side.
 const CLOSING_LIMIT_US: u64 = 2_000_000;
 
@@ -48,7 +52,10 @@
 enum Phase {
     Startup,
     Open,
+    /// The last message is on its way.
     Closing,
+    /// This side of the connection is closed; the caller is to close its own.
+    Finished,
 }
 
 /// A caller's connection.
@@ -131,7 +138,27 @@
     pub(super) fn start_closing(&mut self, now_us: u64) {
         self.phase = Phase::Closing;
         self.parting = None;
+        self.deadline_us = Some(now_us + FINISH_DELAY_US);
+    }
+
+    /// Whether nothing more is taken from the caller.
+    fn is_closing(&self) -> bool {
+        matches!(self.phase, Phase::Closing | Phase::Finished)
+    }
+
+    /// Closes this side of the connection some time after the last message. Returns `false` if it is
+    /// closed already and the caller has not closed its own in time. To close the whole connection at
+    /// once could make the caller's system drop the last message if it is still sending.
+    pub(super) fn finish(&mut self, now_us: u64) -> bool {
+        if self.phase != Phase::Closing {
+            return false;
+        }
+        self.phase = Phase::Finished;
         self.deadline_us = Some(now_us + CLOSING_LIMIT_US);
+        if self.stream.output.is_empty() {
+            self.stream.finish();
+        }
+        true
     }
 
     /// Writes what waits.
@@ -141,9 +168,7 @@
             io.metrics.caller_sent_bytes.inc_by(written_bytes);
         }
         if self.stream.output.is_empty() {
-            if self.phase == Phase::Closing {
-                // The caller closes its side in turn. To close at once could make its system drop
-                // the last answer if it is still sending.
+            if self.phase == Phase::Finished {
                 self.stream.finish();
             } else if core::mem::take(&mut self.held_back) {
                 io.unfinished.push_back(token);
@@ -172,7 +197,7 @@
                 ReadOutcome::Data(bytes) => {
                     total_bytes += bytes.len();
                     io.metrics.caller_received_bytes.inc_by(bytes.len() as u64);
-                    if self.phase != Phase::Closing {
+                    if !self.is_closing() {
                         self.codec.receive(bytes);
                     }
                 }
@@ -189,7 +214,7 @@
     }
 
     fn room(&self) -> usize {
-        if self.phase == Phase::Closing { usize::MAX } else { self.codec.room() }
+        if self.is_closing() { usize::MAX } else { self.codec.room() }
     }
 
     /// Takes the messages that have arrived whole, up to a request that must be answered first.
@@ -202,7 +227,7 @@
     ) -> Next {
         let before_bytes = self.stream.output.len();
         let next = loop {
-            if self.phase == Phase::Closing {
+            if self.is_closing() {
                 break Next::Wait;
             }
             if self.stream.output.len() > OUTPUT_BACKLOG_BYTES {
--- a/crates/daemon/tests/fleet/failures.rs
+++ b/crates/daemon/tests/fleet/failures.rs
@@ -36,6 +36,16 @@
     })
 }
 
+/// Numbers of all payments, in ascending order.
+fn payments(proxy: &Proxy) -> Vec<i32> {
+    wait_for("an answered read", || {
+        let mut client = proxy.try_connect(DATABASE).map_err(|error| format!("{error:?}"))?;
+        let rows = client.query("SELECT id FROM payments ORDER BY id", &[]);
+        let rows = rows.map_err(|error| format!("{error:?}"))?;
+        Ok(rows.iter().map(|row| row.get(0)).collect())
+    })
+}
+
 /// Guards against a database that takes no writes after the loss of its primary, and against the
 /// loss of a write that was acknowledged before.
 #[test]
@@ -110,6 +120,46 @@
     }
 }
 
+/// Guards against requests without an answer while a proxy shuts down: a caller that keeps sending gets
+/// an answer to each request, at last the notice that the proxy is shutting down, and the process ends
+/// before its drain deadline because nobody waits any more.
+#[test]
+fn a_shutdown_answers_a_caller_that_keeps_sending() {
+    for owns in [true, false] {
+        let mut fleet = Fleet::start(2);
+        fleet.proxies[0].connect(DATABASE).batch_execute(TABLE).expect("the table");
+        let owner = fleet.owner();
+        let terminated = if owns { owner } else { 1 - owner };
+        let mut client = fleet.proxies[terminated].connect(DATABASE);
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let caller = std::thread::spawn(move || {
+            for id in 1.. {
+                let insert = format!("INSERT INTO payments VALUES ({id}, 1)");
+                match client.batch_execute(&insert) {
+                    Ok(()) => sender.send(id).expect("the test waits"),
+                    Err(error) => return (id, error),
+                }
+            }
+            unreachable!("the numbers do not end")
+        });
+        receiver.recv().expect("the first write");
+        fleet.proxies[terminated].terminate();
+        let (id, error) = caller.join().expect("the thread");
+        let code = error.code().map(|code| code.code().to_owned());
+        assert_eq!(code.as_deref(), Some("57P01"), "{error}");
+        let status = fleet.proxies[terminated].wait_for_exit();
+        assert!(status.success(), "{status}");
+        let other = &fleet.proxies[1 - terminated];
+        fleet.wait_until_served(other);
+        let mut expected: Vec<i32> = std::iter::once(1).chain(receiver.try_iter()).collect();
+        let mut found = payments(other);
+        found.retain(|found| *found != id);
+        expected.sort_unstable();
+        assert_eq!(found, expected, "each acknowledged write is there once");
+        assert_eq!(amount_of(other, id), 0, "the refused write did not run");
+    }
+}
+
 /// Guards against a transaction that a shutdown ends between its statements.
 #[test]
 fn a_shutdown_lets_open_transactions_finish() {
