Split the entry side by concern and give fields their units

Change: callers.rs, routing.rs and owner_loss.rs; a count of callers by database; units as suffixes in the command line, the stand-ins and the benchmark. No change of behaviour.

--- a/crates/bench/src/measure/idle.rs
+++ b/crates/bench/src/measure/idle.rs
@@ -17,16 +17,16 @@
 /// them has run one statement.
 pub(crate) fn idle(fleet: &Fleet, arguments: &Arguments) -> Result<Vec<IdleRow>, BenchError> {
     let owner = &fleet.proxies[fleet.owner()?];
-    let length = Duration::from_millis(arguments.idle_ms);
-    let mut rows = vec![row(owner.process(), 0, "idle", length)?];
+    let length_ms = arguments.idle_ms;
+    let mut rows = vec![row(owner.process(), 0, "idle", length_ms)?];
     let mut sessions = Vec::new();
     for &count in &arguments.idle_callers {
         let cpu_us = per_caller_us(owner, &mut sessions, open_up_to(owner, usize::from(count)))?;
-        rows.push(row(owner.process(), sessions.len(), "idle", length)?.with_cpu(cpu_us));
+        rows.push(row(owner.process(), sessions.len(), "idle", length_ms)?.with_cpu(cpu_us));
     }
     let cpu_us = per_caller_us(owner, &mut sessions, run_one_each)?;
     let state = "idle after 1 statement each";
-    rows.push(row(owner.process(), sessions.len(), state, length)?.with_cpu(cpu_us));
+    rows.push(row(owner.process(), sessions.len(), state, length_ms)?.with_cpu(cpu_us));
     Ok(rows)
 }
 
@@ -72,15 +72,15 @@
     process: u32,
     callers: usize,
     state: &'static str,
-    length: Duration,
+    length_ms: u64,
 ) -> Result<IdleRow, BenchError> {
     interrupt::sleep(SETTLING)?;
     let read =
         |prefix| Usage::of_threads(process, prefix).map_err(BenchError::io("read the usage"));
     let (all, traffic) = (read("")?, read("traffic-")?);
-    interrupt::sleep(length)?;
+    interrupt::sleep(Duration::from_millis(length_ms))?;
     let (all, traffic) = (read("")?.since(all), read("traffic-")?.since(traffic));
     let resident_kib = resident_kib(process).map_err(BenchError::io("read the memory"))?;
     let before_us = None;
-    Ok(IdleRow { callers, state, before_us, length, resident_kib, all, traffic })
+    Ok(IdleRow { callers, state, before_us, length_ms, resident_kib, all, traffic })
 }
--- a/crates/bench/src/report/idle_row.rs
+++ b/crates/bench/src/report/idle_row.rs
@@ -1,7 +1,5 @@
 //! Memory and CPU time of a proxy with idle callers.
 
-use std::time::Duration;
-
 use crate::process_usage::Usage;
 
 /// Memory and CPU time of a proxy with idle callers.
@@ -10,7 +8,7 @@
     pub(crate) state: &'static str,
     /// CPU time of the traffic thread for each caller that connected or ran its statement before.
     pub(crate) before_us: Option<f64>,
-    pub(crate) length: Duration,
+    pub(crate) length_ms: u64,
     pub(crate) resident_kib: u64,
     /// All threads of the process.
     pub(crate) all: Usage,
@@ -36,7 +34,7 @@
 
     /// Cells of the row; `base` is the row without callers.
     pub(crate) fn cells(&self, base: Option<&Self>) -> [String; 9] {
-        let length_s = self.length.as_secs_f64();
+        let length_s = self.length_ms as f64 / 1e3;
         let cpu = |usage: Usage| format!("{:.2}", usage.cpu_s() * 1e3 / length_s);
         let wake_ups = |usage: Usage| format!("{:.1}", usage.wake_ups as f64 / length_s);
         let added_kib =
--- a/crates/cli/src/admin/admin_client.rs
+++ b/crates/cli/src/admin/admin_client.rs
@@ -23,13 +23,14 @@
 #[derive(Debug)]
 pub(crate) struct AdminClient<'a> {
     agent: Agent,
-    limit: Duration,
+    limit_ms: u64,
     arguments: &'a ProxyArguments,
 }
 
 impl<'a> AdminClient<'a> {
-    /// Creates a client; a call takes at most `limit`.
-    pub(crate) fn new(arguments: &'a ProxyArguments, limit: Duration) -> Self {
+    /// Creates a client; a call takes at most `limit_ms`.
+    pub(crate) fn new(arguments: &'a ProxyArguments, limit_ms: u64) -> Self {
+        let limit = Duration::from_millis(limit_ms);
         // The key must not travel through an HTTP proxy of the environment or along a redirect.
         let config = Agent::config_builder()
             .proxy(None)
@@ -39,7 +40,7 @@
             .timeout_connect(Some(limit / 2))
             .user_agent("flamingoctl")
             .build();
-        Self { agent: config.new_agent(), limit, arguments }
+        Self { agent: config.new_agent(), limit_ms, arguments }
     }
 
     /// Addresses of the proxies.
@@ -138,7 +139,7 @@
     }
 
     fn call_error(&self, error: &Error) -> AdminError {
-        let limit_ms = self.limit.as_millis();
+        let limit_ms = self.limit_ms;
         match error {
             // The other kinds of error can also occur on an established connection.
             Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
--- a/crates/cli/src/arguments/store_arguments.rs
+++ b/crates/cli/src/arguments/store_arguments.rs
@@ -1,7 +1,6 @@
 //! Arguments that name the store.
 
 use std::path::PathBuf;
-use std::time::Duration;
 
 use clap::Args;
 use flamingorock_config::{ServiceUrl, Settings};
@@ -31,7 +30,7 @@
 
 impl StoreArguments {
     /// Creates a client of the store.
-    pub(crate) fn client(&self, limit: Duration) -> Result<StoreClient<ConsulStore>, Failure> {
+    pub(crate) fn client(&self, limit_ms: u64) -> Result<StoreClient<ConsulStore>, Failure> {
         let (url, prefix) = match (&self.store, &self.settings) {
             (Some(url), _) => (*url, self.prefix.clone()),
             (None, Some(file)) => {
@@ -43,7 +42,7 @@
                 return Err(Failure::Refused { reason });
             }
         };
-        Ok(StoreClient::new(ConsulStore::new(&url.to_string()), Keys::new(prefix), limit))
+        Ok(StoreClient::new(ConsulStore::new(&url.to_string()), Keys::new(prefix), limit_ms))
     }
 }
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::CommandFactory;
 use clap_complete::Shell;
@@ -16,36 +16,37 @@
 
 /// Runs a command and prints its report.
 pub fn run(arguments: &Arguments, out: &mut impl Write, err: &mut impl Write) -> ExitStatus {
-    let limit = Duration::from_millis(arguments.timeout_ms);
+    let limit_ms = arguments.timeout_ms;
     let mut printer = Printer { output: arguments.output, out, err };
     match &arguments.command {
         Command::Check { file } => {
             printer.print(read(file).and_then(|text| check(&text, &file.display().to_string())))
         }
-        Command::Plan { file, store } => printer.print(
-            read(file)
-                .and_then(|text| plan(&store.client(limit)?, &text, &file.display().to_string())),
-        ),
+        Command::Plan { file, store } => {
+            printer.print(read(file).and_then(|text| {
+                plan(&store.client(limit_ms)?, &text, &file.display().to_string())
+            }))
+        }
         Command::Apply { file, expect_version, applied_by, store } => {
             printer.print(read(file).and_then(|text| {
                 let name = file.display().to_string();
                 let request = apply_request(&text, &name, *expect_version, applied_by.as_deref())?;
-                apply(&store.client(limit)?, &request)
+                apply(&store.client(limit_ms)?, &request)
             }))
         }
         Command::Get { version, raw, store } => {
-            let result = store.client(limit).and_then(|client| get(&client, *version, *raw));
+            let result = store.client(limit_ms).and_then(|client| get(&client, *version, *raw));
             printer.print_document(result)
         }
         Command::History { store } => {
-            printer.print(store.client(limit).and_then(|client| history(&client)))
+            printer.print(store.client(limit_ms).and_then(|client| history(&client)))
         }
         Command::Completions { shell } => printer.print_text(Ok(completions(*shell))),
         Command::Status { proxies }
         | Command::Drain { proxies, .. }
         | Command::Promote { proxies, .. }
         | Command::Burn { proxies, .. } => {
-            run_on_proxies(&arguments.command, proxies, limit, &mut printer)
+            run_on_proxies(&arguments.command, proxies, limit_ms, &mut printer)
         }
     }
 }
@@ -54,10 +55,10 @@
 fn run_on_proxies(
     command: &Command,
     proxies: &ProxyArguments,
-    limit: Duration,
+    limit_ms: u64,
     printer: &mut Printer<'_, impl Write, impl Write>,
 ) -> ExitStatus {
-    let client = AdminClient::new(proxies, limit);
+    let client = AdminClient::new(proxies, limit_ms);
     match command {
         Command::Drain { host, .. } => printer.print(proxy_commands::drain(&client, host)),
         Command::Promote { database, to, .. } => {
--- a/crates/cli/src/store_client.rs
+++ b/crates/cli/src/store_client.rs
@@ -14,34 +14,35 @@
     /// Names of the keys.
     pub keys: Keys,
     /// Limit of one call.
-    pub call_limit: Duration,
+    pub call_limit_ms: u64,
     /// How often a call is made before its outcome counts as unknown.
     pub attempts: u32,
     /// Pause before the second attempt; it doubles with each further one.
-    pub pause: Duration,
+    pub pause_ms: u64,
 }
 
 impl<S: KeyValueStore> StoreClient<S> {
     /// Attempts unless set.
     const DEFAULT_ATTEMPTS: u32 = 5;
     /// Pause unless set; all pauses of the default attempts add up to 1.5 s.
-    const DEFAULT_PAUSE: Duration = Duration::from_millis(100);
+    const DEFAULT_PAUSE_MS: u64 = 100;
 
     /// Creates a client.
     #[must_use]
-    pub fn new(store: S, keys: Keys, call_limit: Duration) -> Self {
-        let (attempts, pause) = (Self::DEFAULT_ATTEMPTS, Self::DEFAULT_PAUSE);
-        Self { store, keys, call_limit, attempts, pause }
+    pub fn new(store: S, keys: Keys, call_limit_ms: u64) -> Self {
+        let (attempts, pause_ms) = (Self::DEFAULT_ATTEMPTS, Self::DEFAULT_PAUSE_MS);
+        Self { store, keys, call_limit_ms, attempts, pause_ms }
     }
 
     /// Deadline of a call that starts now.
     pub(crate) fn deadline(&self) -> Instant {
-        Instant::now() + self.call_limit
+        Instant::now() + Duration::from_millis(self.call_limit_ms)
     }
 
     /// Waits before the next attempt, `made` attempts having been made.
     pub(crate) fn wait(&self, made: u32) {
-        std::thread::sleep(self.pause * 2u32.saturating_pow(made.saturating_sub(1)));
+        let pause_ms = self.pause_ms * 2u64.saturating_pow(made.saturating_sub(1));
+        std::thread::sleep(Duration::from_millis(pause_ms));
     }
 
     /// Reads the document in force.
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -3,8 +3,6 @@
 #[path = "../../platform/tests/support/mod.rs"]
 mod support;
 
-use std::time::Duration;
-
 use flamingorock_cli::{
     ApplyReport, ApplyRequest, Failure, StoreClient, apply, get, history, plan,
 };
@@ -20,9 +18,8 @@
 }
 
 fn client() -> StoreClient<MemoryStore> {
-    let mut client =
-        StoreClient::new(MemoryStore::default(), Keys::new("fleet"), Duration::from_secs(1));
-    client.pause = Duration::ZERO;
+    let mut client = StoreClient::new(MemoryStore::default(), Keys::new("fleet"), 1_000);
+    client.pause_ms = 0;
     client
 }
 
--- a/crates/core/src/traffic/machine.rs
+++ b/crates/core/src/traffic/machine.rs
@@ -39,7 +39,7 @@
     /// force or the proxy is shutting down.
     pub fn open_caller(&mut self, profile: CallerProfile) -> Result<CallerKey, ResultCode> {
         systems::admit_caller(&self.tables, profile.database)?;
-        Ok(self.tables.callers.insert(Caller::new(profile.database)))
+        Ok(self.tables.insert_caller(profile.database))
     }
 
     /// Queues an event for the next tick.
--- a/crates/core/src/traffic/systems.rs
+++ b/crates/core/src/traffic/systems.rs
@@ -5,6 +5,7 @@
 //! [`confirm`] releases the answer, and [`deliver`] gives it to the caller.
 
 mod admission;
+mod callers;
 mod completion;
 mod confirmation;
 mod connecting;
@@ -13,12 +14,14 @@
 mod expiry;
 mod finishing;
 mod intake;
+mod owner_loss;
 mod probing;
 mod quiescence;
 mod receiving;
 mod reconfiguration;
 mod routing;
 
+pub(crate) use callers::admit_caller;
 pub(crate) use confirmation::confirm;
 pub(crate) use connecting::connect;
 pub(crate) use delivery::deliver;
@@ -28,4 +31,4 @@
 pub(crate) use probing::probe;
 pub(crate) use quiescence::report_quiescence;
 pub(crate) use receiving::receive;
-pub(crate) use routing::{admit_caller, route};
+pub(crate) use routing::route;
--- a/crates/core/src/traffic/systems/delivery.rs
+++ b/crates/core/src/traffic/systems/delivery.rs
@@ -9,7 +9,7 @@
     CallerKey, DatabaseId, RequestKey, ResultCode, StatementKind, TransactionKey, TransactionStatus,
 };
 
-use super::routing;
+use super::{callers, owner_loss, routing};
 
 /// Delivers the outcomes that have arrived to their callers.
 pub(crate) fn deliver<P>(tables: &mut Tables<P>) {
@@ -27,7 +27,7 @@
 fn may_reroute<P>(tables: &Tables<P>, key: RequestKey) -> bool {
     let request = tables.requests.get(key);
     request.is_some_and(|request| tables.now_us < request.deadline_us)
-        && !routing::in_transaction(tables, key)
+        && !owner_loss::in_transaction(tables, key)
 }
 
 fn end_request<P>(tables: &mut Tables<P>, key: RequestKey, outcome: Outcome) {
@@ -61,7 +61,7 @@
     if let Some(caller) = tables.callers.get_mut(request.caller) {
         caller.in_flight = None;
     }
-    routing::abandon_transaction(tables, request.caller);
+    callers::abandon_transaction(tables, request.caller);
     let Some(caller) = tables.callers.get_mut(request.caller) else {
         return TransactionStatus::Idle;
     };
--- a/crates/core/src/traffic/systems/expiry.rs
+++ b/crates/core/src/traffic/systems/expiry.rs
@@ -1,6 +1,6 @@
 //! Deadlines of both sides.
 
-use super::{connecting, finishing, probing, routing};
+use super::{connecting, finishing, owner_loss, probing};
 use crate::traffic::entry_request::EntryState;
 use crate::traffic::tables::Tables;
 use crate::traffic::work::WorkState;
@@ -40,7 +40,7 @@
         }
     }
     while let Some(key) = tables.request_deadlines.pop_due(now_us) {
-        routing::expire_request(tables, key);
+        owner_loss::expire_request(tables, key);
     }
     while let Some(key) = tables.work_deadlines.pop_due(now_us) {
         expire_work(tables, key);
--- a/crates/core/src/traffic/systems/intake.rs
+++ b/crates/core/src/traffic/systems/intake.rs
@@ -1,6 +1,6 @@
 //! Distribution of events to the systems that handle them.
 
-use super::{completion, connecting, probing, receiving, reconfiguration, routing};
+use super::{callers, completion, connecting, owner_loss, probing, receiving, reconfiguration};
 use crate::traffic::tables::Tables;
 use crate::traffic::{DispatchPolicy, Event};
 
@@ -9,16 +9,16 @@
     match event {
         Event::ViewChanged(view) => reconfiguration::apply_view(tables, view),
         Event::RequestReceived { caller, request } => {
-            routing::accept_request(tables, caller, request);
+            callers::accept_request(tables, caller, request);
         }
-        Event::CancelRequested { caller } => routing::cancel_request(tables, caller),
-        Event::CallerClosed { caller } => routing::close_caller(tables, caller),
+        Event::CancelRequested { caller } => callers::cancel_request(tables, caller),
+        Event::CallerClosed { caller } => callers::close_caller(tables, caller),
         Event::MessageReceived { from, message } => tables.inbound.push_back((from, message)),
         Event::SendFailed { host, request } => {
-            routing::record_send_failure(tables, host, request);
+            owner_loss::record_send_failure(tables, host, request);
         }
         Event::LinkLost { host } => {
-            routing::record_link_loss(tables, host);
+            owner_loss::record_link_loss(tables, host);
             receiving::drop_origin(tables, host);
         }
         Event::ConnectionOpened { connection } => connecting::record_opened(tables, connection),
--- a/crates/core/src/traffic/tables.rs
+++ b/crates/core/src/traffic/tables.rs
@@ -27,6 +27,8 @@
 
     // Entry side.
     pub(crate) callers: Arena<CallerKey, Caller>,
+    /// Number of callers by database, so that the limit of a service is checked without a scan.
+    callers_by_database: HashMap<DatabaseId, u32>,
     pub(crate) requests: Arena<RequestKey, EntryRequest>,
     pub(crate) request_deadlines: Deadlines<RequestKey>,
     pub(crate) route_retries: Deadlines<RequestKey>,
@@ -63,6 +65,7 @@
             now_us: 0,
             view: Arc::new(View::default()),
             callers: Arena::new(),
+            callers_by_database: HashMap::new(),
             requests: Arena::new(),
             request_deadlines: Deadlines::new(),
             route_retries: Deadlines::new(),
@@ -84,6 +87,23 @@
         }
     }
 
+    pub(crate) fn insert_caller(&mut self, database: DatabaseId) -> CallerKey {
+        *self.callers_by_database.entry(database).or_default() += 1;
+        self.callers.insert(Caller::new(database))
+    }
+
+    pub(crate) fn remove_caller(&mut self, key: CallerKey) {
+        let Some(caller) = self.callers.remove(key) else { return };
+        if let Some(count) = self.callers_by_database.get_mut(&caller.database) {
+            *count -= 1;
+        }
+    }
+
+    /// Number of callers that work with a database.
+    pub(crate) fn connected_callers(&self, database: DatabaseId) -> u32 {
+        self.callers_by_database.get(&database).copied().unwrap_or(0)
+    }
+
     /// Remembers a transaction that was rolled back for being idle. Old ones are forgotten, which bounds
     /// the memory; their next statement is told that the transaction was lost.
     pub(crate) fn remember_idle_timeout(&mut self, key: TransactionKey) {
--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -23,7 +23,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
 
 use crate::server::Server;
 use faults::Faults;
@@ -103,9 +102,9 @@
     ) -> io::Result<Self> {
         let (data, control) = bind(address, config.control_port)?;
         let faults = Faults {
-            lag: Duration::from_millis(config.lag_ms),
-            service_time: Duration::from_micros(config.service_time_us),
-            connect_time: Duration::from_micros(config.connect_time_us),
+            lag_ms: config.lag_ms,
+            service_time_us: config.service_time_us,
+            connect_time_us: config.connect_time_us,
             ..Faults::default()
         };
         let state = State { storage, faults, ..State::default() };
--- a/crates/standin/src/database/connection.rs
+++ b/crates/standin/src/database/connection.rs
@@ -118,7 +118,7 @@
     state.last_process_id += 1;
     let process_id = state.last_process_id;
     state.sessions.insert(process_id, SessionEntry { secret, ..SessionEntry::default() });
-    let connect_time = state.faults.connect_time;
+    let connect_time = Duration::from_micros(state.faults.connect_time_us);
     drop(state);
     Some((Session::new(Arc::clone(instance), process_id, is_control), secret, connect_time))
 }
--- a/crates/standin/src/database/faults.rs
+++ b/crates/standin/src/database/faults.rs
@@ -1,7 +1,5 @@
 //! Fault switches of an instance.
 
-use std::time::Duration;
-
 use super::error::SqlError;
 
 /// Largest amount of a fault: one day in microseconds, so that adding it to a time cannot overflow.
@@ -14,9 +12,9 @@
     /// Data connections are neither read nor answered.
     pub(crate) cut_proxies: bool,
     /// Age at which a replica applies a log entry.
-    pub(crate) lag: Duration,
-    pub(crate) service_time: Duration,
-    pub(crate) connect_time: Duration,
+    pub(crate) lag_ms: u64,
+    pub(crate) service_time_us: u64,
+    pub(crate) connect_time_us: u64,
     /// New data connections are closed at once.
     pub(crate) refuse_connections: bool,
     /// Commits that are still to take effect without an answer.
@@ -32,9 +30,9 @@
         match name {
             "cut_group" => self.cut_group = amount != 0,
             "cut_proxies" => self.cut_proxies = amount != 0,
-            "lag_ms" => self.lag = Duration::from_millis(amount),
-            "service_time_us" => self.service_time = Duration::from_micros(amount),
-            "connect_time_us" => self.connect_time = Duration::from_micros(amount),
+            "lag_ms" => self.lag_ms = amount,
+            "service_time_us" => self.service_time_us = amount,
+            "connect_time_us" => self.connect_time_us = amount,
             "refuse_connections" => self.refuse_connections = amount != 0,
             "drop_answer" => self.drop_answers = amount,
             _ => return Err(SqlError::new("22023", format!("unknown fault {name:?}"))),
--- a/crates/standin/src/database/instance.rs
+++ b/crates/standin/src/database/instance.rs
@@ -46,7 +46,7 @@
     /// Applies received entries that have reached the data lag; returns when the next one is due.
     pub(crate) fn apply_due(&mut self) -> Option<Instant> {
         while let Some((received_at, entry)) = self.received.front() {
-            let due_at = *received_at + self.faults.lag;
+            let due_at = *received_at + Duration::from_millis(self.faults.lag_ms);
             if due_at > Instant::now() {
                 return Some(due_at);
             }
--- a/crates/standin/src/database/query.rs
+++ b/crates/standin/src/database/query.rs
@@ -44,7 +44,8 @@
         statement: &Statement,
         parameters: &[Value],
     ) -> Result<Outcome, SqlError> {
-        let service_time = self.instance.lock().faults.service_time;
+        let service_time_us = self.instance.lock().faults.service_time_us;
+        let service_time = Duration::from_micros(service_time_us);
         if !self.is_control && !service_time.is_zero() {
             self.sleep(service_time)?;
         }
--- a/crates/standin/src/host_list.rs
+++ b/crates/standin/src/host_list.rs
@@ -30,7 +30,7 @@
     index: u64,
     /// Lists that become visible later, with the time of that.
     pending: VecDeque<(Instant, Vec<Host>)>,
-    lag: Duration,
+    lag_ms: u64,
     is_out: bool,
 }
 
@@ -73,7 +73,7 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("PUT", "/standin/hosts") => match serde_json::from_slice(&request.body) {
                 Ok(hosts) => {
-                    self.pending.push_back((now + self.lag, hosts));
+                    self.pending.push_back((now + Duration::from_millis(self.lag_ms), hosts));
                     Reply::text(200, "true")
                 }
                 Err(error) => Reply::text(400, format!("malformed host list: {error}")),
@@ -98,7 +98,7 @@
     fn set_faults(&mut self, query: &BTreeMap<String, String>) -> Option<()> {
         for (name, value) in query {
             match name.as_str() {
-                "lag_ms" => self.lag = Duration::from_millis(value.parse::<u32>().ok()?.into()),
+                "lag_ms" => self.lag_ms = value.parse::<u32>().ok()?.into(),
                 "outage" => self.is_out = value.parse().ok()?,
                 _ => return None,
             }
