Keep late cancel requests away from other sessions, and tell former standbys

Cause: a cancel request travels on a connection of its own and can arrive after the statement that it is meant for; the connection had then gone to another session, whose statement was cancelled.

Change: a connection is closed after the answer once a cancel request for it is on its way; a replaced standby gets heartbeats for 2 s more, from which it learns that its reservation is gone.

--- a/crates/core/src/control/systems/heartbeat_sender.rs
+++ b/crates/core/src/control/systems/heartbeat_sender.rs
@@ -12,6 +12,9 @@
 const INTERVAL_US: u64 = 150_000;
 /// Peers besides the ring successors that get a heartbeat in a large fleet.
 const RANDOM_RECEIVERS: usize = 2;
+/// Time for which a replaced standby still gets heartbeats. It learns from them that its reservation
+/// is gone; silence would make it suspect this host and take over.
+const FORMER_STANDBY_US: u64 = 2_000_000;
 /// Ownership changes in a heartbeat, so that the datagram stays small after the loss of a data
 /// centre. Those left out are carried by the next ones.
 const UPDATES_LIMIT: usize = 32;
@@ -59,7 +62,7 @@
 }
 
 /// All peers of a small fleet. In a larger one the ring successors, which judge this host's life, the
-/// standbys of its databases, which replace it, and a few others.
+/// standbys of its databases, which replace it, those they were until lately, and a few others.
 fn receivers(tables: &mut Tables) -> Vec<HostId> {
     if tables.hosts.len() <= SMALL_FLEET_PEERS {
         return tables.hosts.iter().map(|(host, _)| host).collect();
@@ -68,7 +71,12 @@
     let mut ring: Vec<HostId> = tables.hosts.iter().map(|(peer, _)| peer).collect();
     ring.sort_by_key(|peer| peer.0.wrapping_sub(host.0));
     let others = ring.split_off(RING_SUCCESSORS);
-    ring.extend(tables.owned.values().filter_map(|owned| owned.standby).map(|s| s.host));
+    let now_us = tables.now_us;
+    for standby in tables.owned.values().filter_map(|owned| owned.standby) {
+        tables.standby_receivers.insert(standby.host, now_us + FORMER_STANDBY_US);
+    }
+    tables.standby_receivers.retain(|_, until_us| *until_us > now_us);
+    ring.extend(tables.standby_receivers.keys());
     for _ in 0..RANDOM_RECEIVERS {
         ring.push(others[tables.rng.random_range(0..others.len())]);
     }
--- a/crates/core/src/control/tables.rs
+++ b/crates/core/src/control/tables.rs
@@ -78,6 +78,8 @@
     /// Ownership changes that heartbeats pass on, each with the time until which they do.
     pub(crate) updates: VecDeque<(OwnershipUpdate, u64)>,
     pub(crate) heartbeat_sequence: u64,
+    /// Present and recent standbys, each with the time until which it gets heartbeats.
+    pub(crate) standby_receivers: BTreeMap<HostId, u64>,
     pub(crate) host_list: Vec<HostEntry>,
     pub(crate) leaving: Vec<InstanceId>,
     /// Whether `leaving` must be computed again.
@@ -126,6 +128,7 @@
             group_calls: Arena::new(),
             updates: VecDeque::new(),
             heartbeat_sequence: 0,
+            standby_receivers: BTreeMap::new(),
             host_list: Vec::new(),
             leaving: Vec::new(),
             leaving_stale: false,
--- a/crates/core/src/traffic/connection.rs
+++ b/crates/core/src/traffic/connection.rs
@@ -11,6 +11,9 @@
     pub(crate) transaction: Option<TransactionKey>,
     /// Whether session state may be left over, so that a reset is due before the next session.
     pub(crate) needs_reset: bool,
+    /// Whether a cancel request is on its way. It may arrive late and hit whatever runs then, so the
+    /// connection is not given to another session any more.
+    pub(crate) cancel_sent: bool,
 }
 
 /// What a connection does.
--- a/crates/core/src/traffic/systems/connecting.rs
+++ b/crates/core/src/traffic/systems/connecting.rs
@@ -26,6 +26,7 @@
                     state: ConnectionState::Opening,
                     transaction: None,
                     needs_reset: false,
+                    cancel_sent: false,
                 });
                 actions.push(Action::OpenConnection { connection, instance: instance.id });
             }
@@ -89,7 +90,9 @@
 /// Frees a connection that no transaction holds, after a reset if session state may be left over.
 pub(super) fn release<P>(tables: &mut Tables<P>, key: ConnectionKey) {
     let Some(connection) = tables.connections.get(key) else { return };
-    if connection.needs_reset {
+    if connection.cancel_sent {
+        close(tables, key);
+    } else if connection.needs_reset {
         reset(tables, key);
     } else {
         make_idle(tables, key);
@@ -109,10 +112,20 @@
 /// Rolls back what is open on a connection and clears its session state.
 pub(super) fn reset<P>(tables: &mut Tables<P>, key: ConnectionKey) {
     let Some(connection) = tables.connections.get_mut(key) else { return };
+    if connection.cancel_sent {
+        return close(tables, key);
+    }
     connection.state = ConnectionState::Resetting;
     tables.actions.push(Action::ResetConnection { connection: key });
 }
 
+/// Asks the backend server to cancel what runs on a connection.
+pub(super) fn cancel<P>(tables: &mut Tables<P>, key: ConnectionKey) {
+    let Some(connection) = tables.connections.get_mut(key) else { return };
+    connection.cancel_sent = true;
+    tables.actions.push(Action::CancelConnection { connection: key });
+}
+
 /// Closes a connection, whatever it does.
 pub(super) fn close<P>(tables: &mut Tables<P>, key: ConnectionKey) {
     if tables.connections.contains(key) {
--- a/crates/core/src/traffic/systems/expiry.rs
+++ b/crates/core/src/traffic/systems/expiry.rs
@@ -1,10 +1,10 @@
 //! Deadlines of both sides.
 
 use super::{connecting, finishing, owner_loss, probing};
+use crate::traffic::DispatchPolicy;
 use crate::traffic::entry_request::EntryState;
 use crate::traffic::tables::Tables;
 use crate::traffic::work::WorkState;
-use crate::traffic::{Action, DispatchPolicy};
 use crate::{ConnectionKey, ResultCode, StatementKind, WorkKey};
 
 /// Time that a backend server gets to end a cancelled statement before its connection is closed.
@@ -88,7 +88,7 @@
     }
     work.deadline_us = tables.now_us + CANCEL_GRACE_US;
     tables.work_deadlines.insert(work.deadline_us, key);
-    tables.actions.push(Action::CancelConnection { connection });
+    connecting::cancel(tables, connection);
 }
 
 /// Result of a statement whose connection was closed because it did not end in time.
--- a/crates/core/src/traffic/systems/receiving.rs
+++ b/crates/core/src/traffic/systems/receiving.rs
@@ -1,8 +1,7 @@
 //! Messages from other threads and hosts, and from this thread to itself.
 
-use super::{admission, delivery, finishing};
+use super::{admission, connecting, delivery, finishing};
 use crate::message::{Outcome, TrafficMessage};
-use crate::traffic::Action;
 use crate::traffic::DispatchPolicy;
 use crate::traffic::entry_request::EntryState;
 use crate::traffic::tables::Tables;
@@ -58,7 +57,7 @@
         }
         // The backend server answers a cancelled statement with an error of its own.
         WorkState::Running { connection, .. } => {
-            tables.actions.push(Action::CancelConnection { connection });
+            connecting::cancel(tables, connection);
         }
         // The statement has run; only the confirmation is due.
         WorkState::AwaitingConfirmation(_) => {}
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -2,6 +2,7 @@
 
 mod traffic_support;
 
+use flamingorock_core::traffic::Event;
 use flamingorock_core::{StatementKind, Term, TransactionStatus};
 use traffic_support::{Bench, configuration, service, view};
 
@@ -86,3 +87,16 @@
     let refusals = bench.transcript.lines().filter(|line| line.contains("Refuse"));
     insta::assert_snapshot!(refusals.collect::<Vec<_>>().join("\n"));
 }
+
+/// Guards against a late cancel request that hits the statement of another session: the connection is
+/// closed after the answer.
+#[test]
+fn connection_with_a_cancel_request_on_its_way_is_not_reused() {
+    let mut bench = bench();
+    let caller = bench.caller();
+    let run = bench.request(caller, StatementKind::Write, "insert");
+    bench.step(Event::CancelRequested { caller });
+    bench.answer(&run, TransactionStatus::Idle);
+    let of_connections = bench.transcript.lines().filter(|line| line.contains("onnection"));
+    insta::assert_snapshot!(of_connections.collect::<Vec<_>>().join("\n"));
+}
