--- a/crates/core/src/traffic/systems/reconfiguration.rs
+++ b/crates/core/src/traffic/systems/reconfiguration.rs
@@ -17,10 +17,13 @@
 /// Puts a new view in force.
 pub(super) fn apply_view<P: DispatchPolicy>(tables: &mut Tables<P>, view: Arc<View>) {
     let starts_draining = view.draining && !tables.view.draining;
+    let owners_changed = view.owners != tables.view.owners;
     tables.view = view;
     add_counters(tables);
     wake_requests(tables);
-    hasten_answers_of_former_owners(tables);
+    if owners_changed {
+        hasten_answers_of_former_owners(tables);
+    }
     drop_databases(tables);
     for served in tables.view.served.clone() {
         if tables.config.thread_of(served.database) == tables.config.thread {
