Rename what read badly, and show the errors of callers' mistakes end to end

Cause: some names of the shutdown path and of the event system were figurative, and no test with real processes showed the errors that a caller gets for an oversized statement, an unsupported one, a wrong setting, a wrong type or another protocol version.

--- a/crates/core/src/traffic/machine.rs
+++ b/crates/core/src/traffic/machine.rs
@@ -53,7 +53,7 @@
         tables.now_us = now_us;
         systems::note_pause(tables, self.next_deadline_us);
         while let Some(event) = self.inbox.pop_front() {
-            systems::take_in(tables, event);
+            systems::handle_event(tables, event);
         }
         systems::expire(tables);
         // A message to the own thread, such as the answer to a request for a database that this
--- a/crates/core/src/traffic/systems.rs
+++ b/crates/core/src/traffic/systems.rs
@@ -1,7 +1,7 @@
 //! The systems of the traffic machine, plain functions that run over its tables.
 //!
 //! A request passes them in this order: [`route`] sends it to the owner of its database, [`receive`]
-//! admits it there, [`dispatch`] runs it on a connection, [`take_in`] takes the backend server's answer,
+//! admits it there, [`dispatch`] runs it on a connection, [`handle_event`] takes the backend server's answer,
 //! [`confirm`] releases the answer, and [`deliver`] gives it to the caller.
 
 mod admission;
@@ -11,9 +11,9 @@
 mod connecting;
 mod delivery;
 mod dispatching;
+mod event_handling;
 mod expiry;
 mod finishing;
-mod intake;
 mod owner_loss;
 mod probing;
 mod quiescence;
@@ -26,8 +26,8 @@
 pub(crate) use connecting::connect;
 pub(crate) use delivery::deliver;
 pub(crate) use dispatching::dispatch;
+pub(crate) use event_handling::handle_event;
 pub(crate) use expiry::{expire, next_deadline_us, note_pause};
-pub(crate) use intake::take_in;
 pub(crate) use probing::probe;
 pub(crate) use quiescence::report_quiescence;
 pub(crate) use receiving::receive;
--- a/crates/core/src/traffic/systems/intake.rs
+++ b/crates/core/src/traffic/systems/event_handling.rs
@@ -5,7 +5,7 @@
 use crate::traffic::{DispatchPolicy, Event};
 
 /// Hands an event to the system that it concerns.
-pub(crate) fn take_in<P: DispatchPolicy>(tables: &mut Tables<P>, event: Event) {
+pub(crate) fn handle_event<P: DispatchPolicy>(tables: &mut Tables<P>, event: Event) {
     match event {
         Event::ViewChanged(view) => reconfiguration::apply_view(tables, view),
         Event::RequestReceived { caller, request } => {
--- a/crates/core/src/traffic/systems/reconfiguration.rs
+++ b/crates/core/src/traffic/systems/reconfiguration.rs
@@ -22,7 +22,7 @@
     add_counters(tables);
     wake_requests(tables);
     if owners_changed {
-        hasten_answers_of_former_owners(tables);
+        shorten_waits_for_former_owners(tables);
     }
     drop_databases(tables);
     for served in tables.view.served.clone() {
@@ -70,7 +70,7 @@
 
 /// Shortens the wait for the answers of former owners. A planned change of owner happens after the
 /// former one has answered everything, so an answer that is still missing will hardly come.
-fn hasten_answers_of_former_owners<P>(tables: &mut Tables<P>) {
+fn shorten_waits_for_former_owners<P>(tables: &mut Tables<P>) {
     let sent = tables.requests.keys_where(|row| matches!(row.state, EntryState::Sent { .. }));
     for key in sent {
         routing::shorten_wait_for_former_owner(tables, key);
--- a/crates/daemon/src/traffic/callers.rs
+++ b/crates/daemon/src/traffic/callers.rs
@@ -2,7 +2,7 @@
 
 mod answers;
 mod caller;
-mod parting;
+mod pending_disconnect;
 mod rules;
 
 use std::collections::HashMap;
@@ -127,8 +127,8 @@
                 self.remove(io, machine, key);
                 return Some(cancel);
             }
-            Next::Refuse(code) => self.turn_away(io, machine, key, &Refusal::new(code, "")),
-            Next::Leave => self.leave(io, machine, key),
+            Next::Refuse(code) => self.refuse_and_close(io, machine, key, &Refusal::new(code, "")),
+            Next::Leave => self.close_after_output(io, machine, key),
             Next::Close => self.remove(io, machine, key),
         }
         None
@@ -145,7 +145,7 @@
         match self.try_open(io, machine, key, startup) {
             // What follows the startup message waits in the codec.
             Ok(()) => io.unfinished.push_back(key.into()),
-            Err(refusal) => self.turn_away(io, machine, key, &refusal),
+            Err(refusal) => self.refuse_and_close(io, machine, key, &refusal),
         }
     }
 
@@ -175,7 +175,7 @@
     }
 
     /// Tells a caller why its connection is closed, and closes it once that has been written.
-    fn turn_away(
+    fn refuse_and_close(
         &mut self,
         io: &mut IoContext,
         machine: &mut Driven<Traffic>,
@@ -186,12 +186,17 @@
         io.metrics.callers_refused.get_or_create(&label).inc();
         if let Some(caller) = self.sockets.get_mut(key) {
             caller.stream.output.push(refusal.encode_fatal());
-            self.leave(io, machine, key);
+            self.close_after_output(io, machine, key);
         }
     }
 
     /// Ends a session and closes its connection once everything has been written.
-    fn leave(&mut self, io: &mut IoContext, machine: &mut Driven<Traffic>, key: CallerSocketKey) {
+    fn close_after_output(
+        &mut self,
+        io: &mut IoContext,
+        machine: &mut Driven<Traffic>,
+        key: CallerSocketKey,
+    ) {
         self.end_session(io, machine, key);
         if let Some(caller) = self.sockets.get_mut(key) {
             caller.start_closing(io.now_us);
@@ -207,8 +212,8 @@
         if !caller.is_overdue(io.now_us) {
             return;
         }
-        if caller.is_parting() {
-            self.part(io, machine, key);
+        if caller.is_disconnect_pending() {
+            self.disconnect_if_idle(io, machine, key);
         } else if caller.finish(io.now_us) {
             io.deadlines.extend(caller.deadline_us, key.into());
         } else {
--- a/crates/daemon/src/traffic/callers/answers.rs
+++ b/crates/daemon/src/traffic/callers/answers.rs
@@ -67,13 +67,13 @@
         let now_us = io.now_us;
         let Some((key, caller)) = self.find(session) else { return };
         if !caller.codec.is_in_flight() {
-            caller.start_parting(code, now_us);
+            caller.schedule_disconnect(code, now_us);
             io.deadlines.extend(caller.deadline_us, key.into());
         }
     }
 
     /// Disconnects a caller after the pause, unless a request has arrived.
-    pub(super) fn part(
+    pub(super) fn disconnect_if_idle(
         &mut self,
         io: &mut IoContext,
         machine: &mut Driven<Traffic>,
@@ -82,11 +82,13 @@
         let Some(caller) = self.sockets.get_mut(key) else { return };
         let next = caller.read(io, machine, &self.rules, key.into());
         self.carry_on(io, machine, key, next);
-        let Some(caller) = self.sockets.get_mut(key).filter(|caller| caller.is_parting()) else {
+        let Some(caller) =
+            self.sockets.get_mut(key).filter(|caller| caller.is_disconnect_pending())
+        else {
             return;
         };
-        match caller.parting_code(io.now_us) {
-            Some(code) => self.turn_away(io, machine, key, &Refusal::new(code, "")),
+        match caller.disconnect_code(io.now_us) {
+            Some(code) => self.refuse_and_close(io, machine, key, &Refusal::new(code, "")),
             None => {
                 let now_us = io.now_us;
                 let later = caller.deadline_us.filter(|deadline_us| *deadline_us > now_us);
--- a/crates/daemon/src/traffic/callers/caller.rs
+++ b/crates/daemon/src/traffic/callers/caller.rs
@@ -9,7 +9,7 @@
 use mio::Token;
 use mio::net::TcpStream;
 
-use super::parting::Parting;
+use super::pending_disconnect::PendingDisconnect;
 use super::rules::Rules;
 use crate::driven::Driven;
 use crate::io_context::IoContext;
@@ -67,7 +67,7 @@
     pub(super) session: Option<CallerKey>,
     pub(super) cancel_key: Option<CallerCancel>,
     pub(super) deadline_us: Option<u64>,
-    parting: Option<Parting>,
+    pending_disconnect: Option<PendingDisconnect>,
     database: Option<DatabaseId>,
     phase: Phase,
     /// Whether the socket has not been read to the end or messages were left in the codec.
@@ -82,7 +82,7 @@
             session: None,
             cancel_key: None,
             deadline_us: Some(now_us + STARTUP_LIMIT_US),
-            parting: None,
+            pending_disconnect: None,
             database: None,
             phase: Phase::Startup,
             held_back: false,
@@ -116,28 +116,28 @@
     }
 
     /// Has the caller disconnected after a pause.
-    pub(super) fn start_parting(&mut self, code: ResultCode, now_us: u64) {
-        self.parting.get_or_insert(Parting::new(code, now_us));
-        self.deadline_us = Some(Parting::deadline_us(now_us));
+    pub(super) fn schedule_disconnect(&mut self, code: ResultCode, now_us: u64) {
+        self.pending_disconnect.get_or_insert(PendingDisconnect::new(code, now_us));
+        self.deadline_us = Some(PendingDisconnect::deadline_us(now_us));
     }
 
     /// Code to tell the caller that is to be disconnected now; `None` if it is to wait. Then there
     /// may be a new deadline, for the rest of a request that has arrived in part.
-    pub(super) fn parting_code(&mut self, now_us: u64) -> Option<ResultCode> {
-        let parting = self.parting.filter(|_| !self.codec.is_in_flight())?;
+    pub(super) fn disconnect_code(&mut self, now_us: u64) -> Option<ResultCode> {
+        let pending = self.pending_disconnect.filter(|_| !self.codec.is_in_flight())?;
         if self.codec.buffered_bytes() > 0
-            && let Some(deadline_us) = parting.rest_deadline_us(now_us)
+            && let Some(deadline_us) = pending.rest_deadline_us(now_us)
         {
             self.deadline_us = Some(deadline_us);
             return None;
         }
-        Some(parting.code)
+        Some(pending.code)
     }
 
     /// Takes nothing more from the caller and closes its connection once everything is written.
     pub(super) fn start_closing(&mut self, now_us: u64) {
         self.phase = Phase::Closing;
-        self.parting = None;
+        self.pending_disconnect = None;
         self.deadline_us = Some(now_us + FINISH_DELAY_US);
     }
 
@@ -293,8 +293,9 @@
         };
         io.metrics.requests.inc();
         let is_idle = self.codec.status() == TransactionStatus::Idle;
-        if let Some(parting) = self.parting.filter(|it| is_idle && it.refuses(io.now_us)) {
-            return Next::Refuse(parting.code);
+        if let Some(pending) = self.pending_disconnect.filter(|it| is_idle && it.refuses(io.now_us))
+        {
+            return Next::Refuse(pending.code);
         }
         match rules.request(database, request, io.now_us) {
             Ok(request) => machine.push(Event::RequestReceived { caller, request }),
@@ -310,13 +311,13 @@
 
     /// Whether a deadline applies and has passed.
     pub(super) fn is_overdue(&self, now_us: u64) -> bool {
-        let applies = self.phase != Phase::Open || self.parting.is_some();
+        let applies = self.phase != Phase::Open || self.pending_disconnect.is_some();
         applies && self.deadline_us.is_some_and(|deadline_us| deadline_us <= now_us)
     }
 
     /// Whether the session is open and is to be ended.
-    pub(super) fn is_parting(&self) -> bool {
-        self.parting.is_some()
+    pub(super) fn is_disconnect_pending(&self) -> bool {
+        self.pending_disconnect.is_some()
     }
 }
 
--- a/crates/daemon/src/traffic/callers/parting.rs
+++ b/crates/daemon/src/traffic/callers/pending_disconnect.rs
@@ -12,13 +12,13 @@
 
 /// The disconnection of a caller that is due at a transaction boundary.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Parting {
+pub(super) struct PendingDisconnect {
     pub(super) code: ResultCode,
     /// From when on requests are refused.
     limit_us: u64,
 }
 
-impl Parting {
+impl PendingDisconnect {
     pub(super) fn new(code: ResultCode, now_us: u64) -> Self {
         Self { code, limit_us: now_us + LIMIT_US }
     }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::process::Command;
 
+mod bad_input;
 mod cut_primary;
 mod end_to_end;
 mod failures;
