Confirm the answer of a connection that is closed after it

Cause: since connections with a cancel request on their way are closed after the answer, the decision on the confirmation was taken after the connection had been removed; the answer then counted as one of a replica and left at once. Ruled out by a trace: reports with wrong send times, and keys of a restarted host.

Change: what the connection was connected to is noted before it is settled; a missing row asks for the strictest confirmation instead of none. The test of the closed connection also checks that nothing is delivered unconfirmed.

--- a/crates/core/src/traffic/systems/callers.rs
+++ b/crates/core/src/traffic/systems/callers.rs
@@ -38,6 +38,7 @@
     caller_key: CallerKey,
     request: CallerRequest,
 ) {
+    // The I/O layer has reported an unknown caller as closed; nobody waits for an answer.
     let Some(caller) = tables.callers.get_mut(caller_key) else { return };
     debug_assert!(caller.in_flight.is_none(), "a caller has one request in flight at most");
     if caller.transaction == SessionTransaction::Lost {
--- a/crates/core/src/traffic/systems/completion.rs
+++ b/crates/core/src/traffic/systems/completion.rs
@@ -11,7 +11,8 @@
 use crate::traffic::work::{HeldAnswer, Work, WorkState};
 use crate::traffic::{ConnectionLoss, DispatchPolicy};
 use crate::{
-    ConnectionKey, Position, ResultCode, StatementKind, TransactionKey, TransactionStatus, WorkKey,
+    ConnectionKey, InstanceId, Position, ResultCode, StatementKind, TransactionKey,
+    TransactionStatus, WorkKey,
 };
 
 /// Least time that an answer waits for its confirmation before its outcome counts as unknown.
@@ -41,13 +42,15 @@
     key: WorkKey,
     answer: BackendAnswer,
 ) {
-    let connection = tables.connections.get(connection_key);
-    if connection.map(|connection| connection.state) != Some(ConnectionState::Running(key)) {
+    let Some(connection) = tables.connections.get(connection_key) else { return };
+    if connection.state != ConnectionState::Running(key) {
         return;
     }
+    // Settling may close the connection, so what it was connected to is noted before.
+    let instance = connection.instance;
     let Some(work) = tables.works.get(key).cloned() else { return };
     let WorkState::Running { started_us, cancelled, .. } = work.state else { return };
-    record_service_time(tables, connection_key, &work, started_us);
+    record_service_time(tables, instance, &work, started_us);
     let wrote_before = wrote_in_transaction(tables, &work);
     let transaction = settle_connection(tables, connection_key, &work, answer.status);
     if cancelled && answer.failed {
@@ -58,10 +61,10 @@
         }
         return;
     }
-    match required_confirmation(tables, connection_key, &work, &answer, wrote_before) {
+    match required_confirmation(tables, instance, &work, &answer, wrote_before) {
         Confirmation::None(token) => {
             let BackendAnswer { answer, status, .. } = answer;
-            let by_replica = !is_primary(tables, connection_key);
+            let by_replica = !is_primary(tables, instance);
             let outcome = Outcome::Answered { answer, status, transaction, token, by_replica };
             if let Some(transaction) = transaction {
                 finishing::start_idle_timer(tables, transaction);
@@ -76,20 +79,17 @@
 /// Decides what an answer must wait for.
 fn required_confirmation<P: DispatchPolicy>(
     tables: &Tables<P>,
-    connection_key: ConnectionKey,
+    instance: InstanceId,
     work: &Work,
     answer: &BackendAnswer,
     wrote_before: bool,
 ) -> Confirmation {
-    let Some(database) = tables.databases.get(&work.request.database) else {
-        return Confirmation::None(None);
-    };
-    let Some(connection) = tables.connections.get(connection_key) else {
-        return Confirmation::None(None);
+    let Some(database) = tables.databases.get(&instance.database) else {
+        return Confirmation::Replicated;
     };
     let in_transaction = work.request.transaction.is_some();
-    if !is_primary(tables, connection_key) {
-        let position = database.position_of(usize::from(connection.instance.index));
+    if !is_primary(tables, instance) {
+        let position = database.position_of(usize::from(instance.index));
         return Confirmation::None(position);
     }
     if answer.status != TransactionStatus::Idle {
@@ -147,20 +147,19 @@
     }
 }
 
-fn is_primary<P: DispatchPolicy>(tables: &Tables<P>, connection_key: ConnectionKey) -> bool {
-    let Some(connection) = tables.connections.get(connection_key) else { return false };
-    let database = tables.databases.get(&connection.instance.database);
+fn is_primary<P: DispatchPolicy>(tables: &Tables<P>, instance: InstanceId) -> bool {
+    let database = tables.databases.get(&instance.database);
     let primary_index = database.and_then(|database| database.served.primary_index);
-    primary_index == Some(connection.instance.index)
+    primary_index == Some(instance.index)
 }
 
 fn record_service_time<P: DispatchPolicy>(
     tables: &mut Tables<P>,
-    connection_key: ConnectionKey,
+    instance: InstanceId,
     work: &Work,
     started_us: u64,
 ) {
-    let on_primary = is_primary(tables, connection_key);
+    let on_primary = is_primary(tables, instance);
     let Some(database) = tables.databases.get_mut(&work.request.database) else { return };
     let lane = if on_primary { &mut database.primary_lane } else { &mut database.replica_lane };
     lane.record_service_time(tables.now_us - started_us);
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -89,7 +89,7 @@
 }
 
 /// Guards against a late cancel request that hits the statement of another session: the connection is
-/// closed after the answer.
+/// closed after the answer, and the answer still waits for its confirmation.
 #[test]
 fn connection_with_a_cancel_request_on_its_way_is_not_reused() {
     let mut bench = bench();
@@ -97,6 +97,7 @@
     let run = bench.request(caller, StatementKind::Write, "insert");
     bench.step(Event::CancelRequested { caller });
     bench.answer(&run, TransactionStatus::Idle);
-    let of_connections = bench.transcript.lines().filter(|line| line.contains("onnection"));
+    let is_relevant = |line: &&str| line.contains("onnection") || line.contains("Deliver");
+    let of_connections = bench.transcript.lines().filter(is_relevant);
     insta::assert_snapshot!(of_connections.collect::<Vec<_>>().join("\n"));
 }
