Store times with their unit in the stand-ins and the benchmark

Cause: four fields held a Duration, and four lint allowances gave their reason in a comment instead of the attribute. Change: fields in ms and us, reasons in the attributes; no change of behaviour.

--- a/crates/bench/src/load/event_loop.rs
+++ b/crates/bench/src/load/event_loop.rs
@@ -24,7 +24,7 @@
 /// What a load measured.
 #[derive(Debug)]
 pub(crate) struct LoadResult {
-    pub(crate) elapsed: Duration,
+    pub(crate) elapsed_us: u64,
     pub(crate) failed: u64,
     pub(crate) latency_ns: Histogram<u64>,
 }
@@ -77,12 +77,12 @@
         let started_at = Instant::now();
         let end = started_at + length;
         let mut events = Events::with_capacity(EVENTS_PER_WAKE_UP);
-        let mut result = LoadResult { elapsed: Duration::ZERO, failed: 0, latency_ns: histogram() };
+        let mut result = LoadResult { elapsed_us: 0, failed: 0, latency_ns: histogram() };
         loop {
             interrupt::check()?;
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                result.elapsed = started_at.elapsed();
+                result.elapsed_us = started_at.elapsed().as_micros() as u64;
                 return Ok(result);
             }
             let tick = self.wait(&mut events, left.min(STEP)).and_then(|()| self.receive());
--- a/crates/bench/src/report/throughput_row.rs
+++ b/crates/bench/src/report/throughput_row.rs
@@ -33,7 +33,7 @@
     ];
 
     pub(crate) fn cells(&self) -> [String; 12] {
-        let elapsed_s = self.result.elapsed.as_secs_f64();
+        let elapsed_s = self.result.elapsed_us as f64 / 1e6;
         let done = self.result.latency_ns.len();
         let us = |quantile| {
             format!("{:.0}", self.result.latency_ns.value_at_quantile(quantile) as f64 / 1e3)
--- a/crates/core/tests/control_configuration.rs
+++ b/crates/core/tests/control_configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration and the calls to the store on virtual time.
 
-#[allow(dead_code)] // Each test file uses a part of it.
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod control_support;
 
 use std::collections::BTreeMap;
--- a/crates/core/tests/control_faults.rs
+++ b/crates/core/tests/control_faults.rs
@@ -1,7 +1,7 @@
 //! Random schedules of faults on virtual time. The fake group fails a test when an instance is
 //! promoted that lacks a write which may have been acknowledged.
 
-#[allow(dead_code)] // Each test file uses a part of it.
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod control_support;
 
 use control_support::{MS, SECOND, Simulation, settled};
--- a/crates/core/tests/control_ownership.rs
+++ b/crates/core/tests/control_ownership.rs
@@ -1,6 +1,6 @@
 //! Ownership of databases on virtual time: claims, takeovers, stepping down and draining.
 
-#[allow(dead_code)] // Each test file uses a part of it.
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod control_support;
 
 use control_support::{
--- a/crates/core/tests/control_promotion.rs
+++ b/crates/core/tests/control_promotion.rs
@@ -1,6 +1,6 @@
 //! Loss and change of primaries on virtual time.
 
-#[allow(dead_code)] // Each test file uses a part of it.
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod control_support;
 
 use control_support::{GAP_TARGET_US, MS, SECOND, Simulation, database, settled, summary};
--- a/crates/standin/src/demo/summary.rs
+++ b/crates/standin/src/demo/summary.rs
@@ -20,8 +20,8 @@
     /// Refused as not run or reported as rolled back, but in the log.
     falsely_refused: usize,
     misread: usize,
-    primary_gap: Duration,
-    owner_gap: Duration,
+    primary_gap_ms: u128,
+    owner_gap_ms: u128,
 }
 
 impl Summary {
@@ -46,8 +46,8 @@
             doubled: counts.values().filter(|count| **count > 1).count(),
             falsely_refused: ledger.refused.iter().filter(is_found).count(),
             misread: ledger.misread.len(),
-            primary_gap,
-            owner_gap,
+            primary_gap_ms: primary_gap.as_millis(),
+            owner_gap_ms: owner_gap.as_millis(),
         }
     }
 
@@ -68,7 +68,7 @@
         writeln!(f, "  refused, but found in the log:     {}", self.falsely_refused)?;
         writeln!(f, "  reported as outcome unknown:       {}", self.unknown)?;
         writeln!(f, "  wrong reads:                       {}", self.misread)?;
-        writeln!(f, "  gap, primary killed:               {} ms", self.primary_gap.as_millis())?;
-        write!(f, "  gap, owning proxy killed:          {} ms", self.owner_gap.as_millis())
+        writeln!(f, "  gap, primary killed:               {} ms", self.primary_gap_ms)?;
+        write!(f, "  gap, owning proxy killed:          {} ms", self.owner_gap_ms)
     }
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -99,7 +99,7 @@
             ("GET", "/standin/calls") => return Reply::json(&self.lock().calls.to_json()),
             _ => {}
         }
-        let latency = self.lock().faults.latency;
+        let latency = Duration::from_millis(self.lock().faults.latency_ms);
         if !latency.is_zero() {
             thread::sleep(latency);
         }
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreFaults {
     /// Delay of each call before it takes effect.
-    pub(super) latency: Duration,
+    pub(super) latency_ms: u64,
     /// Reads return the state before the last change of a key.
     pub(super) stale_reads: bool,
     outage: Outage,
@@ -41,7 +41,7 @@
     pub(super) fn set(&mut self, query: &BTreeMap<String, String>) -> Result<(), StoreError> {
         for (name, value) in query {
             match name.as_str() {
-                "latency_ms" => self.latency = Duration::from_millis(parse(name, value)?),
+                "latency_ms" => self.latency_ms = parse(name, value)?,
                 "stale_reads" => self.stale_reads = parse(name, value)?,
                 "lose_answers" => self.lose_answers = parse(name, value)?,
                 "lose_answers_of" => self.lose_answers_of.clone_from(value),
