--- a/crates/core/src/arena_key.rs
+++ b/crates/core/src/arena_key.rs
@@ -17,6 +17,7 @@
 ///
 /// The serde implementations are written by hand because keys travel in every message between
 /// proxies: a key is a pair, with no field names and no generic struct visitor.
+#[macro_export]
 macro_rules! arena_key {
     ($(#[$meta:meta])* $name:ident, $label:literal) => {
         $(#[$meta])*
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,11 +1,14 @@
-//! Monotonic clock of the process.
+//! Clock of the process.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Monotonic clock that all threads of the process share, so that their times can be compared.
+use rustix::time::{ClockId, clock_gettime};
+
+/// Clock that all threads of the process share, so that their times can be compared. It never goes
+/// back and counts the time during which the host is suspended, in which permissions expire.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    origin_us: u64,
 }
 
 impl Clock {
@@ -13,14 +16,14 @@
     /// a short interval is below zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin_us: boot_time_us() }
     }
 
     /// Time now.
     #[must_use]
     pub fn now_us(self) -> u64 {
         const START_US: u64 = 1_000_000;
-        START_US + u64::try_from(self.origin.elapsed().as_micros()).expect("under 500,000 years")
+        START_US + boot_time_us().saturating_sub(self.origin_us)
     }
 
     /// Time until a deadline, for a blocking call.
@@ -29,3 +32,11 @@
         Duration::from_micros(deadline_us.saturating_sub(self.now_us()))
     }
 }
+
+fn boot_time_us() -> u64 {
+    const NANOSECONDS_PER_MICROSECOND: u64 = 1_000;
+    const MICROSECONDS_PER_SECOND: u64 = 1_000_000;
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec.unsigned_abs() * MICROSECONDS_PER_SECOND
+        + time.tv_nsec.unsigned_abs() / NANOSECONDS_PER_MICROSECOND
+}
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -24,6 +24,8 @@
         /// Error of the system.
         error: io::Error,
     },
+    /// {0}
+    Settings(flamingorock_jardinet::SettingsError),
     /// {thread} stopped unexpectedly
     ThreadEnded {
         /// The thread.
@@ -35,6 +37,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Listen { error, .. } | Self::Start { error, .. } => Some(error),
+            Self::Settings(error) => Some(error),
             Self::ThreadEnded { .. } => None,
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,9 @@
 //! thread has sent something or a stored deadline is reached; then it ticks its machine and carries
 //! out the actions. Sockets live in tables by kind, addressed by keys that are also the poll's
 //! tokens.
+//!
+//! [`run`] serves PostgreSQL callers with one owner per database; [`run_pooled`] serves callers on
+//! the Jardinet platform with connections from every proxy to every instance.
 
 mod admin;
 mod args;
@@ -23,6 +26,7 @@
 mod net;
 mod outbox;
 mod poller;
+mod pooled;
 mod run;
 mod thread_guard;
 mod traffic;
@@ -34,4 +38,5 @@
 pub use metrics::NAMES as METRIC_NAMES;
 pub use net::{Deadlines, SocketKey, SocketTable, WriteBuffer};
 pub use outbox::Outbox;
+pub use pooled::run as run_pooled;
 pub use run::run;
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -13,8 +13,8 @@
 pub use deadlines::Deadlines;
 pub use options::{CALLER_SILENCE, PEER_SILENCE, bind_udp, connect, listen, set_stream_options};
 pub use socket_key::{
-    BackendSocketKey, CallerSocketKey, CancelSocketKey, IncomingLinkKey, MonitorSocketKey,
-    OutgoingLinkKey, SocketKey, SocketTable,
+    BackendSocketKey, CallSocketKey, CallerSocketKey, CancelSocketKey, IncomingLinkKey,
+    MonitorSocketKey, OutgoingLinkKey, QuestionSocketKey, SocketKey, SocketTable,
 };
 pub use stream::{READ_BUDGET_BYTES, ReadOutcome, Scratch, Stream};
 pub use write_buffer::WriteBuffer;
--- /dev/null
+++ b/crates/daemon/src/pooled/control_thread.rs
@@ -0,0 +1,374 @@
+//! Loop of the control thread.
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use flamingorock_jardinet::{
+    HostSettings, READY_PATH, decode_promotion, decode_store_answer, encode_promotion,
+    encode_store_call,
+};
+use flamingorock_pool::Permit;
+use flamingorock_pool::control::{
+    Action, Change, Control, ControlConfig, Event, PeerMessage, StoreAnswer, StoreCall,
+};
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Interest, Registry, Token};
+
+use super::http_calls::{Ended, HttpCalls};
+use super::http_server::{HttpServer, Question, Reply};
+use super::mail::{ControlMail, TrafficMail};
+use super::metrics::PooledMetrics;
+use super::signals::SignalPipe;
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::mailbox::MailSender;
+use crate::net::{SocketTable, bind_udp, listen};
+use crate::poller::{Poller, Ready};
+
+const STOP: Token = Token(1);
+const RELOAD: Token = Token(2);
+const PEERS: Token = Token(3);
+const READY: Token = Token(4);
+const METRICS: Token = Token(5);
+
+/// Largest datagram of another proxy.
+const DATAGRAM_BYTES: usize = 64 * 1024;
+/// Delay before messages are offered again to a traffic thread whose mailbox was full.
+const RETRY_US: u64 = 2_000;
+const METRICS_PATH: &str = "/metrics";
+
+/// What a call over HTTP is for.
+#[derive(Debug)]
+enum Purpose {
+    Store { call: StoreCall, sent_us: u64 },
+    Promotion { replica_set: Bytes, fence: u64 },
+}
+
+/// What the thread is started with.
+pub struct ControlParts {
+    pub settings: HostSettings,
+    pub settings_path: PathBuf,
+    pub metrics_port: Option<u16>,
+    pub incarnation: u64,
+    pub permit: Permit,
+    pub clock: Clock,
+    pub metrics: PooledMetrics,
+    pub traffic: MailSender<TrafficMail>,
+}
+
+/// The control thread: its machine and its sockets.
+pub struct ControlThread {
+    poller: Poller<ControlMail>,
+    registry: Registry,
+    machine: Control,
+    calls: HttpCalls<Purpose>,
+    server: HttpServer,
+    peers: UdpSocket,
+    ready_listener: TcpListener,
+    metrics_listener: Option<TcpListener>,
+    stop: SignalPipe,
+    reload: SignalPipe,
+    parts: ControlParts,
+    is_ready: bool,
+    exits: bool,
+    /// Messages that the traffic thread has not taken yet.
+    mail: VecDeque<TrafficMail>,
+}
+
+impl ControlThread {
+    /// Opens the sockets.
+    ///
+    /// # Errors
+    ///
+    /// An address is in use, or the system refuses a socket or a signal handler.
+    pub fn new(poller: Poller<ControlMail>, parts: ControlParts) -> Result<Self, DaemonError> {
+        let starting = DaemonError::starting("the control thread");
+        let registry = poller.registry().map_err(starting)?;
+        let settings = &parts.settings;
+        let config = ControlConfig {
+            name: settings.name.clone(),
+            incarnation: parts.incarnation,
+            peer_address: settings.peer_address,
+            permit: parts.permit.clone(),
+            grace_us: settings.grace_us,
+        };
+        let ready_listener = open(&registry, settings.ready_address, "the balancer", READY)?;
+        let metrics_listener = match parts.metrics_port {
+            Some(port) => {
+                let address = SocketAddr::new(ip(settings), port);
+                Some(open(&registry, address, "metrics", METRICS)?)
+            }
+            None => None,
+        };
+        let address = settings.peer_address;
+        let listening = |error| DaemonError::Listen { purpose: "proxies", address, error };
+        let mut peers = bind_udp(address).map_err(listening)?;
+        registry.register(&mut peers, PEERS, Interest::READABLE).map_err(listening)?;
+        let signal = DaemonError::starting("signal handling");
+        let (mut stop, mut reload) =
+            (|| Ok((SignalPipe::for_stop()?, SignalPipe::for_reload()?)))().map_err(signal)?;
+        for (pipe, token) in [(&mut stop, STOP), (&mut reload, RELOAD)] {
+            registry
+                .register(pipe.receiver_mut(), token, Interest::READABLE)
+                .map_err(DaemonError::starting("signal handling"))?;
+        }
+        let machine = Control::new(config, parts.clock.now_us());
+        Ok(Self {
+            poller,
+            registry,
+            machine,
+            calls: HttpCalls::new(),
+            server: HttpServer::new(),
+            peers,
+            ready_listener,
+            metrics_listener,
+            stop,
+            reload,
+            parts,
+            is_ready: false,
+            exits: false,
+            mail: VecDeque::new(),
+        })
+    }
+
+    /// Runs until the process is to end.
+    ///
+    /// # Errors
+    ///
+    /// The traffic thread has ended unexpectedly.
+    pub fn run(mut self) -> Result<(), DaemonError> {
+        let mut ready = Vec::new();
+        self.tick();
+        while !self.exits {
+            let deadline_us = self.next_deadline_us();
+            self.poller.wait(self.parts.clock, Some(deadline_us), &mut ready);
+            while let Some(mail) = self.poller.take_mail() {
+                match mail {
+                    ControlMail::Report(report) => self.machine.push(Event::Report(report)),
+                    ControlMail::TrafficEnded => {
+                        return Err(DaemonError::ThreadEnded { thread: "the traffic thread" });
+                    }
+                }
+            }
+            for ready in &ready {
+                self.take_socket(*ready);
+            }
+            let now_us = self.parts.clock.now_us();
+            for ended in self.calls.expire(now_us) {
+                self.finish(ended);
+            }
+            self.server.expire(now_us);
+            self.tick();
+        }
+        Ok(())
+    }
+
+    fn next_deadline_us(&self) -> u64 {
+        let now_us = self.parts.clock.now_us();
+        let machine_us = self.machine.next_deadline_us(now_us);
+        let mail_us = if self.mail.is_empty() { u64::MAX } else { now_us + RETRY_US };
+        machine_us.min(mail_us).min(self.calls.next_deadline_us().unwrap_or(u64::MAX))
+    }
+
+    fn take_socket(&mut self, ready: Ready) {
+        let token = ready.token;
+        match SocketTable::of(token) {
+            Some(SocketTable::Calls) => {
+                if let Some(ended) = self.calls.advance(token.into()) {
+                    self.finish(ended);
+                }
+            }
+            Some(SocketTable::Questions) => {
+                let answer = answerer(self.is_ready, &self.parts.metrics);
+                self.server.advance(token.into(), &answer);
+            }
+            _ => self.take_fixed(token),
+        }
+    }
+
+    fn take_fixed(&mut self, token: Token) {
+        match token {
+            STOP if self.stop.take() => {
+                tracing::info!(event = "signal", detail = "told to stop");
+                self.machine.push(Event::Stop);
+            }
+            RELOAD if self.reload.take() => self.reload_settings(),
+            PEERS => self.receive(),
+            READY => self.accept(true),
+            METRICS => self.accept(false),
+            _ => {}
+        }
+    }
+
+    fn accept(&mut self, is_balancer: bool) {
+        let now_us = self.parts.clock.now_us();
+        let listener =
+            if is_balancer { Some(&self.ready_listener) } else { self.metrics_listener.as_ref() };
+        let Some(listener) = listener else { return };
+        let answer = answerer(self.is_ready, &self.parts.metrics);
+        self.server.accept(listener, &self.registry, now_us, &answer);
+    }
+
+    /// Addresses of the platform may change; those of this host are kept until a restart.
+    fn reload_settings(&mut self) {
+        match HostSettings::load(&self.parts.settings_path) {
+            Ok(settings) => {
+                self.parts.settings.store_address = settings.store_address;
+                self.parts.settings.promotion_address = settings.promotion_address;
+                tracing::info!(event = "reload", detail = "the settings were read again");
+            }
+            Err(error) => {
+                tracing::warn!(event = "reload", %error, "the former settings stay in force");
+            }
+        }
+    }
+
+    fn receive(&mut self) {
+        let mut bytes = vec![0; DATAGRAM_BYTES];
+        while let Ok((length, from)) = self.peers.recv_from(&mut bytes) {
+            match postcard::from_bytes::<PeerMessage>(&bytes[..length]) {
+                Ok(message) => self.machine.push(Event::Peer(message)),
+                Err(error) => {
+                    tracing::warn!(event = "datagram_unreadable", %from, %error);
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, (purpose, answer): Ended<Purpose>) {
+        let event = match purpose {
+            Purpose::Store { call, sent_us } => {
+                let outcome = decode_store_answer(&call, answer.as_ref());
+                Event::Store(StoreAnswer { call, sent_us, outcome })
+            }
+            Purpose::Promotion { replica_set, fence } => {
+                let outcome = decode_promotion(answer.as_ref());
+                Event::Promotion { replica_set, fence, outcome }
+            }
+        };
+        self.machine.push(event);
+    }
+
+    fn tick(&mut self) {
+        let now_us = self.parts.clock.now_us();
+        self.machine.tick(now_us);
+        let mut changes: Vec<Change> = Vec::new();
+        self.machine.take_changes(&mut changes);
+        for change in &changes {
+            tracing::info!(event = change.name(), detail = %change);
+        }
+        let mut actions = Vec::new();
+        self.machine.take_actions(&mut actions);
+        for action in actions {
+            self.perform(action, now_us);
+        }
+        while let Some(mail) = self.mail.pop_front() {
+            if let Err(mail) = self.parts.traffic.try_send(mail) {
+                self.mail.push_front(mail);
+                break;
+            }
+        }
+        self.set_gauges(now_us);
+    }
+
+    fn set_gauges(&self, now_us: u64) {
+        let metrics = &self.parts.metrics;
+        let version = self.machine.configuration_version();
+        metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let proxies = self.machine.fleet_size(now_us);
+        metrics.proxies.set(i64::try_from(proxies).unwrap_or(i64::MAX));
+        let left_ms = self.parts.permit.until_us().saturating_sub(now_us) / 1000;
+        metrics.permit_left_ms.set(i64::try_from(left_ms).unwrap_or(i64::MAX));
+    }
+
+    fn perform(&mut self, action: Action, now_us: u64) {
+        match action {
+            Action::Store { call, deadline_us } => self.call_store(call, deadline_us, now_us),
+            Action::Promote { replica_set, instance, fence, deadline_us } => {
+                self.promote(replica_set, &instance, fence, deadline_us);
+            }
+            Action::Send { address, message } => self.send(address, &message),
+            Action::Call(call) => self.mail.push_back(TrafficMail::Call(call)),
+            Action::Publish(view) => self.mail.push_back(TrafficMail::View(view)),
+            Action::ProbePrimary { replica_set } => {
+                self.mail.push_back(TrafficMail::ProbePrimary { replica_set });
+            }
+            Action::SetReady(is_ready) => self.is_ready = is_ready,
+            Action::StopTraffic { close_idle_us, abort_us } => {
+                self.mail.push_back(TrafficMail::Stop { close_idle_us, abort_us });
+            }
+            Action::Exit => {
+                tracing::info!(event = "stop", detail = "the process ends");
+                self.exits = true;
+            }
+        }
+    }
+
+    fn call_store(&mut self, call: StoreCall, deadline_us: u64, now_us: u64) {
+        let address = self.parts.settings.store_address;
+        let request = encode_store_call(&address.to_string(), &call);
+        self.parts.metrics.store_calls.inc();
+        let purpose = Purpose::Store { call, sent_us: now_us };
+        let started =
+            self.calls.start(&self.registry, address, request, deadline_us, false, purpose);
+        if let Err(purpose) = started {
+            self.finish((purpose, None));
+        }
+    }
+
+    fn promote(&mut self, replica_set: Bytes, instance: &Bytes, fence: u64, deadline_us: u64) {
+        let settings = &self.parts.settings;
+        let address = settings.promotion_address;
+        let holder = String::from_utf8_lossy(&settings.name);
+        let request =
+            encode_promotion(&address.to_string(), &holder, fence, &replica_set, instance);
+        let purpose = Purpose::Promotion { replica_set, fence };
+        let started =
+            self.calls.start(&self.registry, address, request, deadline_us, true, purpose);
+        if let Err(purpose) = started {
+            self.finish((purpose, None));
+        }
+    }
+
+    /// A datagram that is lost is followed by others.
+    fn send(&self, address: SocketAddr, message: &PeerMessage) {
+        match postcard::to_stdvec(message) {
+            Ok(bytes) => {
+                if let Err(error) = self.peers.send_to(&bytes, address) {
+                    tracing::debug!(event = "datagram_not_sent", %address, %error);
+                }
+            }
+            Err(error) => tracing::warn!(event = "datagram_not_encoded", %error),
+        }
+    }
+}
+
+fn ip(settings: &HostSettings) -> IpAddr {
+    settings.peer_address.ip()
+}
+
+fn open(
+    registry: &Registry,
+    address: SocketAddr,
+    purpose: &'static str,
+    token: Token,
+) -> Result<TcpListener, DaemonError> {
+    let open = || {
+        let mut listener = listen(address)?;
+        registry.register(&mut listener, token, Interest::READABLE)?;
+        Ok(listener)
+    };
+    open().map_err(|error| DaemonError::Listen { purpose, address, error })
+}
+
+/// Answers the balancer and those who read metrics.
+fn answerer(is_ready: bool, metrics: &PooledMetrics) -> impl Fn(&Question) -> Reply {
+    move |question| match question.path.as_str() {
+        READY_PATH if is_ready => Reply { status: "200 OK", body: String::new() },
+        READY_PATH => Reply { status: "503 Service Unavailable", body: String::new() },
+        METRICS_PATH => Reply { status: "200 OK", body: metrics.encode() },
+        _ => Reply { status: "404 Not Found", body: String::new() },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pooled/traffic_thread.rs
@@ -0,0 +1,238 @@
+//! Loop of the traffic thread.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use flamingorock_pool::traffic::{
+    Action, Decision, Event, Observation, Report, Traffic, TrafficConfig,
+};
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+
+use super::backends::Backends;
+use super::callers::Callers;
+use super::decision_log::DecisionLog;
+use super::mail::{ControlMail, TrafficMail};
+use super::metrics::PooledMetrics;
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::mailbox::MailSender;
+use crate::net::{ACCEPT_RETRY_US, Scratch, SocketTable, accept_all, listen};
+use crate::poller::{Poller, Ready};
+
+const CALLERS: Token = Token(1);
+
+/// Delay before reports are offered again to a control thread whose mailbox was full.
+const RETRY_US: u64 = 1_000;
+
+/// What the thread is started with.
+pub struct TrafficParts {
+    pub config: TrafficConfig,
+    pub callers_address: SocketAddr,
+    pub clock: Clock,
+    pub metrics: PooledMetrics,
+    pub control: MailSender<ControlMail>,
+}
+
+/// The traffic thread: its machine and its sockets.
+pub struct TrafficThread {
+    poller: Poller<TrafficMail>,
+    registry: Registry,
+    machine: Traffic,
+    listener: Option<TcpListener>,
+    callers: Callers,
+    backends: Backends,
+    scratch: Scratch,
+    parts: TrafficParts,
+    log: DecisionLog,
+    /// Reports that the control thread has not taken yet.
+    reports: VecDeque<Report>,
+    /// When the listener is closed, after the request to stop.
+    close_listener_us: Option<u64>,
+    retry_us: Option<u64>,
+    /// Sockets that may have more to read.
+    unread: Vec<Token>,
+}
+
+impl TrafficThread {
+    /// Opens the listener.
+    ///
+    /// # Errors
+    ///
+    /// The address is in use, or the system is out of file descriptors.
+    pub fn new(poller: Poller<TrafficMail>, parts: TrafficParts) -> Result<Self, DaemonError> {
+        let registry = poller.registry().map_err(DaemonError::starting("the traffic thread"))?;
+        let address = parts.callers_address;
+        let open = || {
+            let mut listener = listen(address)?;
+            registry.register(&mut listener, CALLERS, Interest::READABLE)?;
+            Ok(listener)
+        };
+        let listener =
+            open().map_err(|error| DaemonError::Listen { purpose: "callers", address, error })?;
+        Ok(Self {
+            poller,
+            registry,
+            machine: Traffic::new(parts.config.clone()),
+            listener: Some(listener),
+            callers: Callers::new(),
+            backends: Backends::new(),
+            scratch: Scratch::new(),
+            parts,
+            log: DecisionLog::default(),
+            reports: VecDeque::new(),
+            close_listener_us: None,
+            retry_us: None,
+            unread: Vec::new(),
+        })
+    }
+
+    /// Serves until the process ends.
+    pub fn run(mut self) {
+        let mut ready = Vec::new();
+        loop {
+            let deadline_us = self.next_deadline_us();
+            self.poller.wait(self.parts.clock, deadline_us, &mut ready);
+            ready.extend(self.unread.drain(..).map(Ready::from));
+            self.take_mail();
+            for ready in &ready {
+                self.take_socket(*ready);
+            }
+            self.accept_if_due();
+            self.tick();
+        }
+    }
+
+    fn next_deadline_us(&self) -> Option<u64> {
+        if !self.unread.is_empty() {
+            return Some(0);
+        }
+        let machine_us = self.machine.next_deadline_us();
+        [machine_us, self.retry_us, self.close_listener_us].into_iter().flatten().min()
+    }
+
+    fn take_mail(&mut self) {
+        while let Some(mail) = self.poller.take_mail() {
+            let event = match mail {
+                TrafficMail::View(view) => Event::View(view),
+                TrafficMail::Call(call) => Event::GroupCall(call),
+                TrafficMail::ProbePrimary { replica_set } => Event::ProbePrimary { replica_set },
+                TrafficMail::Stop { close_idle_us, abort_us } => {
+                    self.close_listener_us = Some(close_idle_us);
+                    Event::Stop { close_idle_us, abort_us }
+                }
+            };
+            self.machine.push(event);
+        }
+    }
+
+    fn take_socket(&mut self, ready: Ready) {
+        let token = ready.token;
+        self.scratch.to_end = ready.to_end;
+        let is_unread = match SocketTable::of(token) {
+            Some(SocketTable::Callers) => {
+                self.callers.advance(token.into(), &mut self.scratch, &mut self.machine)
+            }
+            Some(SocketTable::Backends) => {
+                self.backends.advance(token.into(), &mut self.scratch, &mut self.machine)
+            }
+            _ if token == CALLERS => {
+                self.accept();
+                false
+            }
+            _ => false,
+        };
+        if is_unread {
+            self.unread.push(token);
+        }
+    }
+
+    fn accept(&mut self) {
+        let Some(listener) = &self.listener else { return };
+        let mut accepted = Vec::new();
+        if accept_all(listener, |tcp| accepted.push(tcp)) {
+            self.retry_us = Some(self.parts.clock.now_us() + ACCEPT_RETRY_US);
+        }
+        for tcp in accepted {
+            self.callers.add(tcp, &self.registry, &mut self.machine);
+        }
+    }
+
+    fn accept_if_due(&mut self) {
+        let now_us = self.parts.clock.now_us();
+        if self.retry_us.is_some_and(|retry_us| retry_us <= now_us) {
+            self.retry_us = None;
+            self.accept();
+        }
+        if self.close_listener_us.is_some_and(|close_us| close_us <= now_us) {
+            self.close_listener_us = None;
+            // What waits in the listener's queue is taken before it is closed.
+            self.accept();
+            self.listener = None;
+        }
+    }
+
+    /// Ticks until the actions cause no more events.
+    fn tick(&mut self) {
+        let mut actions = Vec::new();
+        loop {
+            let now_us = self.parts.clock.now_us();
+            self.machine.tick(now_us);
+            self.machine.take_actions(&mut actions);
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions.drain(..) {
+                self.perform(action);
+            }
+            self.backends.flush(&mut self.machine);
+            self.callers.flush(&mut self.machine);
+        }
+        self.pass_on();
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Accept { session } => self.callers.accept(session),
+            Action::Refuse { session, code, retry_after_ms } => {
+                self.callers.refuse(session, code, retry_after_ms);
+            }
+            Action::Reply { session, reply } => self.callers.reply(session, &reply),
+            Action::CloseSession { session } => self.callers.close(session),
+            Action::Connect { connection, address } => {
+                self.backends.connect(connection, address, &self.registry, &mut self.machine);
+            }
+            Action::Send { connection, command } => self.backends.send(connection, &command),
+            Action::CloseConnection { connection } => self.backends.close(connection),
+        }
+    }
+
+    /// Passes observations on to the log, the metrics and the control thread.
+    fn pass_on(&mut self) {
+        let now_us = self.parts.clock.now_us();
+        let mut decisions: Vec<Decision> = Vec::new();
+        self.machine.take_decisions(&mut decisions);
+        for decision in &decisions {
+            self.log.write(decision, now_us);
+        }
+        let mut observations: Vec<Observation> = Vec::new();
+        self.machine.take_observations(&mut observations);
+        for observation in &observations {
+            self.parts.metrics.observe(observation);
+        }
+        self.parts.metrics.sessions.set(i64::try_from(self.machine.sessions()).unwrap_or(i64::MAX));
+        self.parts.metrics.waiting.set(i64::try_from(self.machine.waiting()).unwrap_or(i64::MAX));
+        let mut reports = Vec::new();
+        self.machine.take_reports(&mut reports);
+        self.reports.extend(reports);
+        while let Some(report) = self.reports.pop_front() {
+            if let Err(ControlMail::Report(report)) =
+                self.parts.control.try_send(ControlMail::Report(report))
+            {
+                self.reports.push_front(report);
+                self.retry_us = Some(now_us + RETRY_US);
+                break;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/traffic/thread.rs
+++ b/crates/daemon/src/traffic/thread.rs
@@ -188,7 +188,8 @@
                 self.report_loss(loss);
             }
             Some(SocketTable::Cancels) => self.cancels.ready(&mut self.io, token),
-            None => {}
+            // Tables of the pooled mode.
+            Some(SocketTable::Calls | SocketTable::Questions) | None => {}
         }
     }
 
@@ -224,6 +225,8 @@
                     self.report_loss(loss);
                 }
                 Some(SocketTable::Cancels) => self.cancels.expire(&mut self.io, token),
+                // Tables of the pooled mode.
+                Some(SocketTable::Calls | SocketTable::Questions) => {}
                 None if token == CALLERS => self.accept_callers(),
                 None => self.accept_peers(),
             }
--- /dev/null
+++ b/crates/pool/src/control/peer_message.rs
@@ -0,0 +1,64 @@
+//! Messages between proxies.
+
+use bytes::Bytes;
+use flamingorock_core::Term;
+use serde::{Deserialize, Serialize};
+
+use super::PromotionRecord;
+
+/// A message between two proxies, one datagram each.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// Sign of life.
+    Heartbeat(Heartbeat),
+    /// A promotion record that the receiver may not have seen yet.
+    Record {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The record.
+        record: PromotionRecord,
+    },
+    /// The sender has stopped using the primary that a claim replaces.
+    Stopped {
+        /// The sender.
+        from: Bytes,
+        /// The replica set.
+        replica_set: Bytes,
+        /// Fence of the claim.
+        fence: u64,
+        /// Last position that the sender saw at the old primary, as term and number.
+        position: Option<flamingorock_core::Position>,
+    },
+}
+
+/// Sign of life of a proxy.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Name of the sender.
+    pub from: Bytes,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Rises with each heartbeat of the sender.
+    pub sequence: u64,
+    /// Highest sequence that the sender has from the receiver's present incarnation, 0 for none.
+    pub echo: u64,
+    /// Newest configuration that the sender has.
+    pub configuration_version: u64,
+    /// What the sender believes of the primaries.
+    pub sets: Vec<SetReport>,
+}
+
+/// What a proxy believes of a replica set's primary.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SetReport {
+    /// The replica set.
+    pub replica_set: Bytes,
+    /// Highest fence that the sender knows.
+    pub fence: u64,
+    /// Term of the primary.
+    pub term: Term,
+    /// Time since the primary's last sign of life.
+    pub heard_age_ms: u32,
+    /// Whether the sender cannot reach the primary.
+    pub is_lost: bool,
+}
--- /dev/null
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -0,0 +1,107 @@
+//! Replica sets as the control machine sees them.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use flamingorock_core::Term;
+
+use super::PromotionRecord;
+use super::belief::Belief;
+use super::takeover::Takeover;
+use crate::InstanceEntry;
+
+/// An instance as the store describes it.
+#[derive(Clone, Debug)]
+pub struct KnownInstance {
+    pub entry: InstanceEntry,
+    /// Since when its entry is missing.
+    pub missing_since_us: Option<u64>,
+}
+
+/// The newest promotion record and when it was first seen.
+#[derive(Clone, Debug)]
+pub struct KnownRecord {
+    pub record: PromotionRecord,
+    /// Revision in the store, 0 if it came from another proxy.
+    pub revision: u64,
+    pub seen_us: u64,
+}
+
+/// A replica set.
+#[derive(Debug)]
+pub struct ReplicaSetState {
+    pub instances: BTreeMap<Bytes, KnownInstance>,
+    pub belief: Belief,
+    pub record: Option<KnownRecord>,
+    /// Highest fence that another proxy has reported.
+    pub reported_fence: u64,
+    /// Last sign of life of the primary, and since when it is lost.
+    pub heard_us: u64,
+    pub lost_since_us: Option<u64>,
+    /// When the traffic thread reported that a held primary is quiet, with the term.
+    pub quiet_term: Option<Term>,
+    pub last_position: Option<flamingorock_core::Position>,
+    pub takeover: Option<Takeover>,
+    /// When the instances are asked next for a primary.
+    pub search_us: u64,
+    /// When the primary may be replaced at the earliest, so that proxies claim one after the other.
+    pub claim_us: Option<u64>,
+    /// Smoothed time from a claim to the next primary.
+    pub takeover_us: u64,
+}
+
+/// Time from a claim to the next primary that is assumed before one has been seen.
+const ASSUMED_TAKEOVER_US: u64 = 1_200_000;
+
+impl ReplicaSetState {
+    pub fn new(now_us: u64) -> Self {
+        Self {
+            instances: BTreeMap::new(),
+            belief: Belief::Searching { since_us: now_us },
+            record: None,
+            reported_fence: 0,
+            heard_us: 0,
+            lost_since_us: None,
+            quiet_term: None,
+            last_position: None,
+            takeover: None,
+            search_us: 0,
+            claim_us: None,
+            takeover_us: ASSUMED_TAKEOVER_US,
+        }
+    }
+
+    /// The primary and its term, if one is believed to lead.
+    pub fn primary(&self) -> Option<(&Bytes, Term)> {
+        match &self.belief {
+            Belief::Searching { .. } => None,
+            Belief::Leading { instance, term } => Some((instance, *term)),
+        }
+    }
+
+    /// Term of the primary, 0 if none is known.
+    pub fn term(&self) -> Term {
+        self.primary().map(|(_, term)| term).unwrap_or_default()
+    }
+
+    /// Highest fence that is known.
+    pub fn fence(&self) -> u64 {
+        let own = self.record.as_ref().map_or(0, |known| known.record.fence);
+        own.max(self.reported_fence)
+    }
+
+    /// The claim that holds the primary, if there is one.
+    pub fn claim(&self) -> Option<&KnownRecord> {
+        self.record.as_ref().filter(|known| known.record.is_claimed())
+    }
+
+    /// Whether a claim exists that this proxy has only heard of.
+    pub fn has_unseen_claim(&self) -> bool {
+        self.reported_fence > self.record.as_ref().map_or(0, |known| known.record.fence)
+    }
+
+    /// Whether the primary is held by a claim.
+    pub fn is_held(&self) -> bool {
+        self.claim().is_some() || self.has_unseen_claim()
+    }
+}
--- /dev/null
+++ b/crates/pool/src/control/systems.rs
@@ -0,0 +1,46 @@
+//! Systems of the control machine, in the order in which a tick runs them.
+
+mod claims;
+mod detection;
+mod heartbeats;
+mod instances;
+mod intake;
+mod mirror;
+mod permits;
+mod publishing;
+mod records;
+mod registration;
+mod search;
+mod shutdown;
+mod takeovers;
+
+use super::tables::Tables;
+
+/// Longest time between two ticks.
+const TICK_US: u64 = 100_000;
+/// Longest time between two ticks while a primary is lost or replaced.
+const BUSY_TICK_US: u64 = 20_000;
+
+/// Runs every system once.
+pub fn run(tables: &mut Tables, now_us: u64) {
+    intake::run(tables, now_us);
+    mirror::run(tables, now_us);
+    registration::run(tables, now_us);
+    permits::run(tables, now_us);
+    instances::run(tables, now_us);
+    search::run(tables, now_us);
+    detection::run(tables, now_us);
+    takeovers::run(tables, now_us);
+    heartbeats::run(tables, now_us);
+    publishing::run(tables, now_us);
+    shutdown::run(tables, now_us);
+}
+
+/// When the systems must run next if nothing happens before.
+pub fn next_deadline_us(tables: &Tables, now_us: u64) -> u64 {
+    let is_busy = tables
+        .sets
+        .values()
+        .any(|set| set.takeover.is_some() || set.lost_since_us.is_some() || set.is_held());
+    now_us + if is_busy { BUSY_TICK_US } else { TICK_US }
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/claims.rs
@@ -0,0 +1,93 @@
+//! Claims the replacement of a primary.
+
+use bytes::Bytes;
+
+use super::super::replica_set_state::KnownRecord;
+use super::super::tables::{Tables, text};
+use super::super::takeover::{Stage, Takeover};
+use super::super::{Change, Condition, PromotionRecord, PromotionState, StoreCall};
+
+/// Delay between the claims of two proxies, by their order, so that usually one claims.
+const TURN_US: u64 = 80_000;
+/// Time after which the store's answer to a claim is given up.
+const TIMEOUT_US: u64 = 400_000;
+
+/// Claims the replacement when it is this proxy's turn.
+pub fn consider(
+    tables: &mut Tables,
+    name: &Bytes,
+    is_planned: bool,
+    reason: &'static str,
+    now_us: u64,
+) {
+    let turn = turn(tables, name, now_us);
+    let Some(set) = tables.sets.get_mut(name) else { return };
+    let due_us = *set.claim_us.get_or_insert(now_us + turn * TURN_US);
+    if now_us >= due_us {
+        set.claim_us = None;
+        claim(tables, name, is_planned, reason, now_us);
+    }
+}
+
+/// Number of proxies in contact that come before this one for a replica set. The order differs by
+/// replica set, so that the work is spread.
+fn turn(tables: &Tables, name: &Bytes, now_us: u64) -> u64 {
+    let own = weight(name, &tables.config.name);
+    let before = tables
+        .members
+        .iter()
+        .filter(|(other, member)| member.is_in_contact(now_us) && weight(name, other) > own);
+    before.count() as u64
+}
+
+/// Weight of a proxy for a replica set: FNV-1a over both names.
+fn weight(set: &Bytes, proxy: &Bytes) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    set.iter()
+        .chain(proxy.iter())
+        .fold(OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME))
+}
+
+/// Sends a claim to the store.
+pub fn claim(
+    tables: &mut Tables,
+    name: &Bytes,
+    is_planned: bool,
+    reason: &'static str,
+    now_us: u64,
+) {
+    let Some(set) = tables.sets.get_mut(name) else { return };
+    let (fence, revision) = match &set.record {
+        Some(KnownRecord { record, revision, .. }) => (record.fence + 1, *revision),
+        None => (1, 0),
+    };
+    let term = set.term();
+    let record = PromotionRecord {
+        fence,
+        holder: tables.config.name.clone(),
+        holder_incarnation: tables.config.incarnation,
+        state: PromotionState::Claimed { term, is_planned },
+    };
+    set.takeover = Some(Takeover {
+        stage: Stage::Claiming,
+        fence,
+        revision: 0,
+        claimed_us: now_us,
+        is_planned,
+        term,
+        former: set.primary().map(|(instance, _)| instance.clone()),
+        stopped: Vec::new(),
+        last_position: set.last_position,
+        statuses: Vec::new(),
+        next_us: now_us,
+        is_writing: true,
+    });
+    tables.changes.push(Change::Claiming { replica_set: text(name), fence, reason });
+    let call = StoreCall::WritePromotion {
+        replica_set: name.clone(),
+        record,
+        condition: Condition { revision },
+    };
+    tables.call_store(call, now_us + TIMEOUT_US);
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -0,0 +1,184 @@
+//! Heartbeats between proxies.
+
+use bytes::Bytes;
+
+use super::super::member::Member;
+use super::super::tables::{Tables, text};
+use super::super::{Action, Change, Heartbeat, MemberRecord, PeerMessage, SetReport};
+use super::registration;
+
+/// Interval of heartbeats in a small fleet.
+const INTERVAL_US: u64 = 250_000;
+/// Interval of heartbeats in a fleet of more than [`SMALL_FLEET`] proxies.
+const LARGE_INTERVAL_US: u64 = 400_000;
+/// Largest fleet that counts as small.
+const SMALL_FLEET: usize = 10;
+/// Time for the traffic thread to probe a primary before its belief is reported.
+const PROBE_US: u64 = 40_000;
+
+/// A proxy's record is in the store.
+pub fn list(tables: &mut Tables, name: Bytes, record: MemberRecord) {
+    if name == tables.config.name {
+        return;
+    }
+    let present = tables
+        .members
+        .get(&name)
+        .filter(|member| {
+            member.incarnation == record.incarnation && member.address == record.peer_address
+        })
+        .is_some();
+    if !present {
+        tables
+            .changes
+            .push(Change::MemberFound { name: text(&name), incarnation: record.incarnation });
+        let member = Member::new(record.peer_address, record.incarnation);
+        tables.members.insert(name.clone(), member);
+        tables.is_urgent = true;
+        tables.is_changed = true;
+    }
+    if let Some(member) = tables.members.get_mut(&name) {
+        member.is_listed = true;
+    }
+}
+
+/// A proxy's record has left the store.
+pub fn unlist(tables: &mut Tables, name: &Bytes) {
+    if *name == tables.config.name {
+        return registration::lost(tables);
+    }
+    if let Some(member) = tables.members.get_mut(name) {
+        member.is_listed = false;
+        tables.is_changed = true;
+    }
+}
+
+pub fn receive(tables: &mut Tables, heartbeat: Heartbeat, now_us: u64) {
+    tables.reported_version = tables.reported_version.max(heartbeat.configuration_version);
+    for report in &heartbeat.sets {
+        if let Some(set) = tables.sets.get_mut(&report.replica_set) {
+            if report.fence > set.fence() {
+                set.reported_fence = report.fence;
+                tables.is_changed = true;
+            }
+        }
+    }
+    let asks: Vec<Bytes> = heartbeat
+        .sets
+        .iter()
+        .filter(|report| report.is_lost)
+        .map(|report| report.replica_set.clone())
+        .collect();
+    inform(tables, &heartbeat);
+    let Some(member) = tables.members.get_mut(&heartbeat.from) else { return };
+    if heartbeat.incarnation < member.incarnation {
+        return;
+    }
+    if heartbeat.incarnation > member.incarnation {
+        let address = member.address;
+        let is_listed = member.is_listed;
+        *member = Member::new(address, heartbeat.incarnation);
+        member.is_listed = is_listed;
+    }
+    if heartbeat.sequence <= member.heard_sequence {
+        return;
+    }
+    member.heard_us = now_us;
+    member.heard_sequence = heartbeat.sequence;
+    member.confirm(heartbeat.echo);
+    let was_asked = member.reports.iter().any(|report| report.is_lost);
+    member.reports = heartbeat.sets;
+    if !asks.is_empty() && !was_asked {
+        member.answer_due_us = Some(now_us + PROBE_US);
+        for replica_set in asks {
+            tables.actions.push(Action::ProbePrimary { replica_set });
+        }
+    }
+}
+
+/// Sends the sender the promotion records that it does not seem to have.
+fn inform(tables: &mut Tables, heartbeat: &Heartbeat) {
+    let Some(member) = tables.members.get(&heartbeat.from) else { return };
+    for report in &heartbeat.sets {
+        let Some(set) = tables.sets.get(&report.replica_set) else { continue };
+        let Some(known) = &set.record else { continue };
+        let is_behind = report.fence < known.record.fence
+            || (report.term < set.term() && !known.record.is_claimed());
+        if is_behind {
+            let message = PeerMessage::Record {
+                replica_set: report.replica_set.clone(),
+                record: known.record.clone(),
+            };
+            tables.actions.push(Action::Send { address: member.address, message });
+        }
+    }
+}
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    forget_gone(tables, now_us);
+    let is_due = now_us >= tables.heartbeat_us || core::mem::take(&mut tables.is_urgent);
+    let due: Vec<Bytes> = tables
+        .members
+        .iter()
+        .filter(|(_, member)| is_due || member.answer_due_us.is_some_and(|due_us| due_us <= now_us))
+        .map(|(name, _)| name.clone())
+        .collect();
+    if due.is_empty() && !is_due {
+        return;
+    }
+    let sets = set_reports(tables, now_us);
+    for name in due {
+        send(tables, &name, sets.clone(), now_us);
+    }
+    if is_due {
+        let is_small = tables.members.len() < SMALL_FLEET;
+        tables.heartbeat_us = now_us + if is_small { INTERVAL_US } else { LARGE_INTERVAL_US };
+    }
+}
+
+fn send(tables: &mut Tables, name: &Bytes, sets: Vec<SetReport>, now_us: u64) {
+    tables.sequence += 1;
+    let Some(member) = tables.members.get_mut(name) else { return };
+    member.note_sent(tables.sequence, now_us);
+    member.answer_due_us = None;
+    let heartbeat = Heartbeat {
+        from: tables.config.name.clone(),
+        incarnation: tables.config.incarnation,
+        sequence: tables.sequence,
+        echo: member.heard_sequence,
+        configuration_version: tables.configuration.version,
+        sets,
+    };
+    let message = PeerMessage::Heartbeat(heartbeat);
+    tables.actions.push(Action::Send { address: member.address, message });
+}
+
+fn set_reports(tables: &Tables, now_us: u64) -> Vec<SetReport> {
+    let report = |(name, set): (&Bytes, &super::super::replica_set_state::ReplicaSetState)| {
+        let age_ms = now_us.saturating_sub(set.heard_us) / 1000;
+        SetReport {
+            replica_set: name.clone(),
+            fence: set.fence(),
+            term: set.term(),
+            heard_age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            is_lost: set.lost_since_us.is_some(),
+        }
+    };
+    tables.sets.iter().map(report).collect()
+}
+
+/// Forgets proxies that are neither in the store nor in contact.
+fn forget_gone(tables: &mut Tables, now_us: u64) {
+    let before = tables.members.len();
+    let changes = &mut tables.changes;
+    tables.members.retain(|name, member| {
+        let is_kept = member.is_listed || member.is_in_contact(now_us);
+        if !is_kept {
+            changes.push(Change::MemberLost { name: text(name) });
+        }
+        is_kept
+    });
+    if tables.members.len() != before {
+        tables.is_changed = true;
+    }
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/intake.rs
@@ -0,0 +1,78 @@
+//! Applies the events that arrived since the last tick.
+
+use super::super::tables::Tables;
+use super::super::{Event, PeerMessage, StoreAnswer, StoreCall};
+use super::{detection, heartbeats, mirror, records, registration, search, shutdown, takeovers};
+use crate::traffic::Report;
+use crate::{GroupAnswer, GroupOutcome};
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    for event in core::mem::take(&mut tables.events) {
+        apply(tables, event, now_us);
+    }
+}
+
+fn apply(tables: &mut Tables, event: Event, now_us: u64) {
+    match event {
+        Event::Store(answer) => apply_store(tables, answer, now_us),
+        Event::Promotion { replica_set, fence, outcome } => {
+            takeovers::promotion_answered(tables, &replica_set, fence, outcome, now_us);
+        }
+        Event::Peer(message) => apply_peer(tables, message, now_us),
+        Event::Report(report) => apply_report(tables, report, now_us),
+        Event::Stop => shutdown::start(tables, now_us),
+    }
+}
+
+fn apply_store(tables: &mut Tables, answer: StoreAnswer, now_us: u64) {
+    mirror::note_contact(tables, &answer, now_us);
+    match &answer.call {
+        StoreCall::List { .. } | StoreCall::Watch { .. } => {
+            mirror::answered(tables, answer, now_us);
+        }
+        StoreCall::GrantLease { .. }
+        | StoreCall::KeepLease { .. }
+        | StoreCall::EndLease { .. }
+        | StoreCall::WriteMember { .. } => registration::answered(tables, answer, now_us),
+        StoreCall::ReadPromotion { .. } | StoreCall::WritePromotion { .. } => {
+            takeovers::store_answered(tables, answer, now_us);
+        }
+    }
+}
+
+fn apply_peer(tables: &mut Tables, message: PeerMessage, now_us: u64) {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => heartbeats::receive(tables, heartbeat, now_us),
+        PeerMessage::Record { replica_set, record } => {
+            records::apply(tables, &replica_set, record, 0, "another proxy", now_us);
+            records::answer_claim(tables, &replica_set);
+        }
+        PeerMessage::Stopped { from, replica_set, fence, position } => {
+            takeovers::stopped(tables, from, &replica_set, fence, position);
+        }
+    }
+}
+
+fn apply_report(tables: &mut Tables, report: Report, now_us: u64) {
+    match report {
+        Report::PrimaryHeard { replica_set, instance, at_us, position } => {
+            detection::heard(tables, &replica_set, &instance, at_us, position);
+        }
+        Report::PrimaryLost { replica_set, instance, since_us } => {
+            detection::lost(tables, &replica_set, &instance, since_us);
+        }
+        Report::PrimaryQuiet { replica_set, term, position } => {
+            records::quiet(tables, &replica_set, term, position);
+        }
+        Report::NotPrimary { replica_set, instance } => {
+            search::refused(tables, &replica_set, &instance, now_us);
+        }
+        Report::GroupAnswer(GroupAnswer { call, outcome }) => {
+            if let GroupOutcome::Status(status) = outcome {
+                search::answered(tables, &call, status, now_us);
+                takeovers::status(tables, &call, status, now_us);
+            }
+        }
+        Report::Stopped => shutdown::finish(tables),
+    }
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -0,0 +1,221 @@
+//! Mirrors the store: reads everything once, then watches for changes.
+
+use super::super::replica_set_state::{KnownInstance, ReplicaSetState};
+use super::super::tables::{MirrorStage, Tables, text};
+use super::super::{
+    Change, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
+};
+use super::{heartbeats, records};
+use std::sync::Arc;
+
+/// How long the store may hold a watch. Short enough that a silent connection is noticed within the
+/// time in which a configuration must be in force.
+const WATCH_WAIT_MS: u32 = 1_500;
+/// Time beyond the wait after which a watch is given up.
+const WATCH_SLACK_US: u64 = 500_000;
+/// Time after which a page is given up.
+const LIST_TIMEOUT_US: u64 = 1_000_000;
+/// Delay after a failed call, doubled with each failure.
+const BACKOFF_US: u64 = 50_000;
+/// Largest delay after a failed call.
+const BACKOFF_MAX_US: u64 = 400_000;
+/// Silence after which the store counts as lost.
+const LOST_US: u64 = 2_500_000;
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    note_silence(tables, now_us);
+    if tables.mirror.is_calling || now_us < tables.mirror.next_us {
+        return;
+    }
+    match tables.mirror.stage {
+        MirrorStage::Idle | MirrorStage::Listing { as_of: None } => {
+            tables.mirror.stage = MirrorStage::Listing { as_of: None };
+            tables.mirror.found.clear();
+            call(tables, StoreCall::List { cursor: None }, now_us + LIST_TIMEOUT_US);
+        }
+        // The next page is asked for as soon as one arrives; this is a page that failed.
+        MirrorStage::Listing { .. } => tables.mirror.stage = MirrorStage::Idle,
+        MirrorStage::Watching { after_revision } => {
+            let deadline_us = now_us + u64::from(WATCH_WAIT_MS) * 1000 + WATCH_SLACK_US;
+            let watch = StoreCall::Watch { after_revision, wait_ms: WATCH_WAIT_MS };
+            call(tables, watch, deadline_us);
+        }
+    }
+}
+
+fn call(tables: &mut Tables, call: StoreCall, deadline_us: u64) {
+    tables.mirror.is_calling = true;
+    tables.call_store(call, deadline_us);
+}
+
+fn note_silence(tables: &mut Tables, now_us: u64) {
+    let silence_us = now_us.saturating_sub(tables.mirror.heard_us);
+    if silence_us > LOST_US && !tables.mirror.is_lost {
+        tables.mirror.is_lost = true;
+        tables.changes.push(Change::StoreLost { silence_ms: silence_us / 1000 });
+    }
+}
+
+/// Any real answer shows that the store lives.
+pub fn note_contact(tables: &mut Tables, answer: &StoreAnswer, now_us: u64) {
+    if matches!(answer.outcome, StoreOutcome::Rejected | StoreOutcome::Unknown) {
+        return;
+    }
+    let silence_us = now_us.saturating_sub(tables.mirror.heard_us);
+    if core::mem::take(&mut tables.mirror.is_lost) {
+        tables.changes.push(Change::StoreRegained { silence_ms: silence_us / 1000 });
+    }
+    if silence_us > LOST_US {
+        tables.mirror.contact_since_us = now_us;
+    }
+    tables.mirror.heard_us = now_us;
+}
+
+pub fn answered(tables: &mut Tables, answer: StoreAnswer, now_us: u64) {
+    tables.mirror.is_calling = false;
+    match answer.outcome {
+        StoreOutcome::Page { items, as_of, next } => {
+            page(tables, items, as_of, next, answer.sent_us, now_us);
+        }
+        StoreOutcome::Changes { items, as_of } => {
+            tables.mirror.failures = 0;
+            for item in items {
+                apply(tables, item, now_us);
+            }
+            tables.mirror.stage = MirrorStage::Watching { after_revision: as_of };
+            run(tables, now_us);
+        }
+        StoreOutcome::HistoryLost => {
+            if let MirrorStage::Watching { after_revision } = tables.mirror.stage {
+                tables.changes.push(Change::HistoryLost { revision: after_revision });
+            }
+            tables.mirror.stage = MirrorStage::Idle;
+            run(tables, now_us);
+        }
+        _ => back_off(tables, now_us),
+    }
+}
+
+/// After a failed watch everything is read again: the history may be gone, and a watch that was cut
+/// may have missed changes.
+fn back_off(tables: &mut Tables, now_us: u64) {
+    let delay_us = (BACKOFF_US << tables.mirror.failures.min(3)).min(BACKOFF_MAX_US);
+    tables.mirror.failures += 1;
+    tables.mirror.next_us = now_us + delay_us;
+    tables.mirror.stage = MirrorStage::Idle;
+}
+
+fn page(
+    tables: &mut Tables,
+    items: Vec<StoreItem>,
+    as_of: u64,
+    next: Option<bytes::Bytes>,
+    sent_us: u64,
+    now_us: u64,
+) {
+    let MirrorStage::Listing { as_of: first } = tables.mirror.stage else { return };
+    let first = first.unwrap_or(as_of);
+    tables.mirror.failures = 0;
+    for item in items {
+        tables.mirror.found.push(item.key.clone());
+        apply(tables, item, now_us);
+    }
+    if let Some(cursor) = next {
+        tables.mirror.stage = MirrorStage::Listing { as_of: Some(first) };
+        return call(tables, StoreCall::List { cursor: Some(cursor) }, now_us + LIST_TIMEOUT_US);
+    }
+    note_missing(tables, now_us);
+    tables.mirror.is_complete = true;
+    tables.mirror.evidence_us = tables.mirror.evidence_us.max(sent_us);
+    tables.mirror.stage = MirrorStage::Watching { after_revision: first };
+    run(tables, now_us);
+}
+
+/// Entries that a complete reading did not show are gone from the store.
+fn note_missing(tables: &mut Tables, now_us: u64) {
+    let found = core::mem::take(&mut tables.mirror.found);
+    let has = |key: StoreKey| found.contains(&key);
+    let mut missing: Vec<StoreKey> = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.is_listed)
+        .map(|(name, _)| StoreKey::Member(name.clone()))
+        .filter(|key| !has(key.clone()))
+        .collect();
+    let own = StoreKey::Member(tables.config.name.clone());
+    if tables.registration.is_written && !has(own.clone()) {
+        missing.push(own);
+    }
+    let instances = tables.sets.values().flat_map(|set| set.instances.keys());
+    missing
+        .extend(instances.map(|id| StoreKey::Instance(id.clone())).filter(|key| !has(key.clone())));
+    for key in missing {
+        apply(tables, StoreItem { key, revision: 0, content: StoreContent::Removed }, now_us);
+    }
+}
+
+fn apply(tables: &mut Tables, item: StoreItem, now_us: u64) {
+    match (item.key, item.content) {
+        (_, StoreContent::Configuration(configuration)) => {
+            apply_configuration(tables, configuration);
+        }
+        (_, StoreContent::Instance(entry)) => apply_instance(tables, entry, now_us),
+        (StoreKey::Member(name), StoreContent::Member(record)) => {
+            heartbeats::list(tables, name, record);
+        }
+        (StoreKey::Promotion(set), StoreContent::Promotion(record)) => {
+            records::apply(tables, &set, record, item.revision, "the store", now_us);
+            records::answer_claim(tables, &set);
+        }
+        (StoreKey::Member(name), StoreContent::Removed) => heartbeats::unlist(tables, &name),
+        (StoreKey::Instance(id), StoreContent::Removed) => miss_instance(tables, &id, now_us),
+        (key, StoreContent::Unreadable { reason }) => {
+            // An unreadable entry names no instance to use.
+            if let StoreKey::Instance(id) = &key {
+                miss_instance(tables, id, now_us);
+            }
+            tables.changes.push(Change::Unreadable { key: format!("{key:?}"), reason });
+        }
+        _ => {}
+    }
+}
+
+fn apply_configuration(tables: &mut Tables, configuration: crate::Configuration) {
+    if configuration.version <= tables.configuration.version {
+        return;
+    }
+    tables.changes.push(Change::Configuration {
+        version: configuration.version,
+        former: tables.configuration.version,
+    });
+    tables.configuration = Arc::new(configuration);
+    tables.is_changed = true;
+    tables.is_urgent = true;
+}
+
+fn apply_instance(tables: &mut Tables, entry: crate::InstanceEntry, now_us: u64) {
+    let set = tables
+        .sets
+        .entry(entry.replica_set.clone())
+        .or_insert_with(|| ReplicaSetState::new(now_us));
+    let former = set.instances.get(&entry.id);
+    let is_news =
+        former.is_none_or(|former| former.entry != entry || former.missing_since_us.is_some());
+    if is_news {
+        tables.changes.push(Change::InstanceFound {
+            instance: text(&entry.id),
+            replica_set: text(&entry.replica_set),
+            is_leaving: entry.is_leaving,
+        });
+        set.instances.insert(entry.id.clone(), KnownInstance { entry, missing_since_us: None });
+        tables.is_changed = true;
+    }
+}
+
+fn miss_instance(tables: &mut Tables, id: &bytes::Bytes, now_us: u64) {
+    for set in tables.sets.values_mut() {
+        if let Some(instance) = set.instances.get_mut(id) {
+            instance.missing_since_us.get_or_insert(now_us);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/permits.rs
@@ -0,0 +1,55 @@
+//! Extends the permit to serve from primaries.
+
+use super::super::Change;
+use super::super::tables::{MirrorStage, Tables};
+
+/// How long the permit holds after evidence that no claim was missed. A claimant waits as long for
+/// proxies that do not answer it.
+pub const PERMIT_US: u64 = 1_300_000;
+/// Remaining time of the permit below which the store is read instead.
+const LOW_US: u64 = 700_000;
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    if !tables.mirror.is_complete {
+        return;
+    }
+    if let Some(confirmed_us) = majority_confirmed_us(tables, now_us) {
+        tables.config.permit.extend(confirmed_us + PERMIT_US);
+    }
+    tables.config.permit.extend(tables.mirror.evidence_us + PERMIT_US);
+    read_store_if_low(tables, now_us);
+    note_change(tables, now_us);
+}
+
+/// Time up to which a majority of the fleet has confirmed to have heard this proxy. Each of them
+/// passes on the claims that it knows.
+fn majority_confirmed_us(tables: &Tables, now_us: u64) -> Option<u64> {
+    let mut confirmed: Vec<u64> =
+        tables.present_members(now_us).map(|(_, member)| member.confirmed_us).collect();
+    confirmed.push(now_us);
+    confirmed.sort_unstable_by(|a, b| b.cmp(a));
+    let majority = confirmed.len() / 2;
+    confirmed.get(majority).copied().filter(|confirmed_us| *confirmed_us > 0)
+}
+
+/// Without a majority a fresh reading of the store shows that there is no claim.
+fn read_store_if_low(tables: &mut Tables, now_us: u64) {
+    let is_low = tables.config.permit.until_us() < now_us + LOW_US;
+    let is_watching = matches!(tables.mirror.stage, MirrorStage::Watching { .. });
+    if is_low && is_watching && !tables.mirror.is_calling {
+        tables.mirror.stage = MirrorStage::Idle;
+    }
+}
+
+fn note_change(tables: &mut Tables, now_us: u64) {
+    let holds = tables.config.permit.holds(now_us);
+    if holds == tables.had_permit {
+        return;
+    }
+    tables.had_permit = holds;
+    let members = tables.fleet_size(now_us);
+    tables.changes.push(match holds {
+        true => Change::PermitRegained { members },
+        false => Change::PermitLost { members },
+    });
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/records.rs
@@ -0,0 +1,89 @@
+//! Promotion records of all proxies.
+
+use bytes::Bytes;
+use flamingorock_core::{Position, Term};
+
+use super::super::belief::Belief;
+use super::super::replica_set_state::{KnownRecord, ReplicaSetState};
+use super::super::tables::{Tables, text};
+use super::super::{Action, Change, PeerMessage, PromotionRecord, PromotionState};
+
+/// Applies a record that is newer than the known one.
+pub fn apply(
+    tables: &mut Tables,
+    name: &Bytes,
+    record: PromotionRecord,
+    revision: u64,
+    source: &'static str,
+    now_us: u64,
+) {
+    let set = tables.sets.entry(name.clone()).or_insert_with(|| ReplicaSetState::new(now_us));
+    if let Some(known) = &mut set.record {
+        if known.record == record && revision > known.revision {
+            known.revision = revision;
+        }
+        if record.order() <= known.record.order() {
+            return;
+        }
+    }
+    let since_us = set.claim().map(|claim| claim.seen_us);
+    match &record.state {
+        PromotionState::Claimed { term, .. } => tables.changes.push(Change::Held {
+            replica_set: text(name),
+            fence: record.fence,
+            holder: text(&record.holder),
+            term: term.0,
+        }),
+        PromotionState::Done { instance, term } => {
+            if let Some(since_us) = since_us {
+                set.takeover_us = (set.takeover_us + now_us.saturating_sub(since_us)) / 2;
+            }
+            tables.changes.push(Change::Primary {
+                replica_set: text(name),
+                instance: text(instance),
+                term: term.0,
+                source,
+            });
+            set.belief = Belief::Leading { instance: instance.clone(), term: *term };
+            set.lost_since_us = None;
+            set.heard_us = now_us;
+            set.takeover = None;
+        }
+    }
+    set.claim_us = None;
+    set.quiet_term = None;
+    set.record = Some(KnownRecord { record, revision, seen_us: now_us });
+    tables.is_changed = true;
+    tables.is_urgent = true;
+}
+
+/// The traffic thread uses a held primary no longer.
+pub fn quiet(tables: &mut Tables, name: &Bytes, term: Term, position: Option<Position>) {
+    let Some(set) = tables.sets.get_mut(name) else { return };
+    if term != set.term() {
+        return;
+    }
+    set.quiet_term = Some(term);
+    set.last_position = position;
+    if let Some(takeover) = &mut set.takeover {
+        takeover.last_position = takeover.last_position.max(position);
+    }
+    answer_claim(tables, name);
+}
+
+/// Tells the holder of a claim that this proxy has stopped, if it has.
+pub fn answer_claim(tables: &mut Tables, name: &Bytes) {
+    let Some(set) = tables.sets.get(name) else { return };
+    let Some(claim) = set.claim() else { return };
+    if set.quiet_term != Some(set.term()) || claim.record.holder == tables.config.name {
+        return;
+    }
+    let Some(holder) = tables.members.get(&claim.record.holder) else { return };
+    let message = PeerMessage::Stopped {
+        from: tables.config.name.clone(),
+        replica_set: name.clone(),
+        fence: claim.record.fence,
+        position: set.last_position,
+    };
+    tables.actions.push(Action::Send { address: holder.address, message });
+}
--- /dev/null
+++ b/crates/pool/src/control/systems/search.rs
@@ -0,0 +1,90 @@
+//! Looks for the primary of a replica set by asking its instances.
+
+use bytes::Bytes;
+use flamingorock_core::Term;
+
+use super::super::belief::Belief;
+use super::super::tables::{Tables, text};
+use super::super::{Action, Change, PromotionState};
+use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
+
+/// Interval at which the instances are asked.
+const INTERVAL_US: u64 = 150_000;
+/// Time after which a question is given up.
+const TIMEOUT_US: u64 = 400_000;
+/// Time during which only instances are asked that believe to lead.
+const NARROW_US: u64 = 600_000;
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    if !tables.mirror.is_complete {
+        return;
+    }
+    let mut calls = Vec::new();
+    for (name, set) in &mut tables.sets {
+        let Belief::Searching { since_us } = set.belief else { continue };
+        if now_us < set.search_us || set.instances.is_empty() {
+            continue;
+        }
+        set.search_us = now_us + INTERVAL_US;
+        let is_narrow = now_us < since_us + NARROW_US;
+        for (id, instance) in &set.instances {
+            let believes = instance.entry.believed_role == Some(ReplicationRole::Primary);
+            if believes || !is_narrow {
+                calls.push(call(name, id, now_us));
+            }
+        }
+    }
+    tables.actions.extend(calls);
+}
+
+fn call(name: &Bytes, id: &Bytes, now_us: u64) -> Action {
+    Action::Call(GroupCall {
+        replica_set: name.clone(),
+        instance: id.clone(),
+        command: GroupCommand::Status,
+        deadline_us: now_us + TIMEOUT_US,
+    })
+}
+
+/// An instance has reported its state: if it leads, it is the primary.
+pub fn answered(tables: &mut Tables, call: &GroupCall, status: InstanceStatus, now_us: u64) {
+    let Some(set) = tables.sets.get_mut(&call.replica_set) else { return };
+    let Belief::Searching { .. } = set.belief else { return };
+    let is_superseded =
+        status.term < lowest_term(set.record.as_ref().map(|known| &known.record.state));
+    if status.role != ReplicationRole::Primary || is_superseded || set.is_held() {
+        return;
+    }
+    set.belief = Belief::Leading { instance: call.instance.clone(), term: status.term };
+    set.heard_us = now_us;
+    set.lost_since_us = None;
+    tables.changes.push(Change::Primary {
+        replica_set: text(&call.replica_set),
+        instance: text(&call.instance),
+        term: status.term.0,
+        source: "the instance",
+    });
+    tables.is_changed = true;
+}
+
+/// Term below which no instance may lead.
+fn lowest_term(state: Option<&PromotionState>) -> Term {
+    match state {
+        Some(PromotionState::Done { term, .. } | PromotionState::Claimed { term, .. }) => *term,
+        None => Term::default(),
+    }
+}
+
+/// The believed primary has refused a write.
+pub fn refused(tables: &mut Tables, name: &Bytes, instance: &Bytes, now_us: u64) {
+    let Some(set) = tables.sets.get_mut(name) else { return };
+    if set.primary().map(|(primary, _)| primary) != Some(instance) || set.is_held() {
+        return;
+    }
+    set.belief = Belief::Searching { since_us: now_us };
+    tables.changes.push(Change::PrimaryUnknown {
+        replica_set: text(name),
+        reason: "the instance refused to act as primary",
+    });
+    tables.is_changed = true;
+}
--- /dev/null
+++ b/crates/pool/src/control/takeover.rs
@@ -0,0 +1,49 @@
+//! Replacements of primaries that this proxy carries out.
+
+use bytes::Bytes;
+use flamingorock_core::{Position, Term};
+
+use crate::InstanceStatus;
+
+/// Step of a replacement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// The claim has been sent to the store.
+    Claiming,
+    /// The answer to the claim was lost; the record is read back.
+    Verifying,
+    /// Waits for the other proxies to stop and asks the candidates.
+    Holding,
+    /// The promotion call is outstanding.
+    Promoting { instance: Bytes },
+    /// Waits for the instance to lead.
+    Settling { instance: Bytes, since_us: u64 },
+    /// The instance leads; the record is being written.
+    Recording { instance: Bytes, term: Term },
+}
+
+/// A replacement.
+#[derive(Clone, Debug)]
+pub struct Takeover {
+    pub stage: Stage,
+    pub fence: u64,
+    /// Revision of the claim in the store.
+    pub revision: u64,
+    /// When the claim was sent; it may be acted on for a bounded time from then.
+    pub claimed_us: u64,
+    pub is_planned: bool,
+    /// Term that is replaced.
+    pub term: Term,
+    /// Primary that is replaced.
+    pub former: Option<Bytes>,
+    /// Proxies that have stopped using the old primary.
+    pub stopped: Vec<Bytes>,
+    /// Last position that any of them saw there.
+    pub last_position: Option<Position>,
+    /// Reports of the candidates.
+    pub statuses: Vec<(Bytes, InstanceStatus)>,
+    /// When the stage is looked at next.
+    pub next_us: u64,
+    /// Whether a store call of this replacement is outstanding.
+    pub is_writing: bool,
+}
--- /dev/null
+++ b/crates/pool/src/instance_status.rs
@@ -0,0 +1,23 @@
+//! Replication state of an instance.
+
+use flamingorock_core::{Position, Term};
+
+/// Role of an instance in its replica set.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplicationRole {
+    /// Takes writes.
+    Primary,
+    /// Receives the primary's commits.
+    Replica,
+}
+
+/// What an instance reports about itself when asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct InstanceStatus {
+    /// Role.
+    pub role: ReplicationRole,
+    /// Term that the instance follows or leads.
+    pub term: Term,
+    /// Last position that it has received, applied or not.
+    pub received: Position,
+}
--- /dev/null
+++ b/crates/pool/src/traffic.rs
@@ -0,0 +1,36 @@
+//! Sessions of callers and their statements.
+//!
+//! [`Traffic`] keeps sessions, connections, instances and replica sets in tables. Events are queued,
+//! a tick runs every system once in a fixed order, and the actions that it leaves are carried out by
+//! the caller.
+
+mod action;
+mod answer;
+mod connection;
+mod database;
+mod due_queue;
+mod event;
+mod instance;
+mod machine;
+mod observation;
+mod position_history;
+mod prepared;
+mod replica_set;
+mod report;
+mod request;
+mod session;
+mod statement;
+mod systems;
+mod tables;
+mod traffic_config;
+
+pub use action::{Action, Command, Decision, DecisionKind, Reply, ReplyOutcome};
+pub use answer::{Answer, AnswerOutcome};
+pub use event::Event;
+pub use machine::Traffic;
+pub use observation::Observation;
+pub use position_history::PositionHistory;
+pub use prepared::PreparedId;
+pub use report::Report;
+pub use statement::{AccessMode, Query, Statement};
+pub use traffic_config::TrafficConfig;
--- /dev/null
+++ b/crates/pool/src/traffic/instance.rs
@@ -0,0 +1,62 @@
+//! Instances as the traffic machine sees them.
+
+use bytes::Bytes;
+use flamingorock_core::Position;
+use std::net::SocketAddr;
+
+use crate::{ConnectionKey, ReplicaSetKey};
+
+/// An instance.
+#[derive(Debug)]
+pub struct Instance {
+    pub id: Bytes,
+    pub started_unix_ms: u64,
+    pub address: SocketAddr,
+    pub replica_set: ReplicaSetKey,
+    pub is_near: bool,
+    pub slots: u32,
+    pub is_leaving: bool,
+    pub connections: Vec<ConnectionKey>,
+    /// Position of its log and when it was seen.
+    pub seen: Option<(u64, Position)>,
+    /// Last sign of life, 0 for none.
+    pub heard_us: u64,
+    /// When the oldest sign of trouble came after the last sign of life.
+    pub suspect_since_us: Option<u64>,
+    /// Whether the loss has been reported.
+    pub is_lost: bool,
+    /// Not connected to before this time.
+    pub connect_after_us: u64,
+    pub connect_failures: u32,
+    /// Not given work before this time, after it has refused some.
+    pub refusing_until_us: u64,
+    /// Failed statements among the recent ones, smoothed, in thousandths.
+    pub failure_permille: u32,
+    /// Smoothed time of an answer.
+    pub answer_us: u64,
+    /// Last report of a sign of life.
+    pub reported_us: u64,
+}
+
+impl Instance {
+    /// Weight of a new observation is one part in this many.
+    const SMOOTHING: u64 = 8;
+
+    /// Records the answer time of a statement.
+    pub fn record_answer(&mut self, took_us: u64) {
+        self.answer_us = (self.answer_us * (Self::SMOOTHING - 1) + took_us) / Self::SMOOTHING;
+    }
+
+    /// Records whether a statement failed at the instance.
+    pub fn record_failure(&mut self, failed: bool) {
+        let observed = if failed { 1000 } else { 0 };
+        let smoothing = Self::SMOOTHING as u32;
+        self.failure_permille = (self.failure_permille * (smoothing - 1) + observed) / smoothing;
+    }
+
+    /// Whether statements fail there so often that others are preferred.
+    pub fn is_failing(&self) -> bool {
+        const FAILING_PERMILLE: u32 = 150;
+        self.failure_permille > FAILING_PERMILLE
+    }
+}
--- /dev/null
+++ b/crates/pool/src/traffic/position_history.rs
@@ -0,0 +1,64 @@
+//! Positions of a primary by the time at which they were seen.
+
+use std::collections::VecDeque;
+
+use flamingorock_core::Position;
+
+/// Positions seen at the true primary, with the time before which the question was sent. A position
+/// covers every commit that was acknowledged before that time.
+#[derive(Clone, Debug, Default)]
+pub struct PositionHistory {
+    samples: VecDeque<(u64, Position)>,
+}
+
+impl PositionHistory {
+    /// Closest distance of two samples that are kept.
+    const SPACING_US: u64 = 50_000;
+    /// Samples that are kept: ten seconds' worth.
+    const CAPACITY: usize = 200;
+
+    /// Adds a sample.
+    pub fn record(&mut self, asked_us: u64, position: Position) {
+        if let Some((last_us, last)) = self.samples.back() {
+            if position < *last || asked_us < last_us + Self::SPACING_US {
+                return;
+            }
+        }
+        if self.samples.len() == Self::CAPACITY {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((asked_us, position));
+    }
+
+    /// Forgets all samples, after a change of term that may have rolled positions back.
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    /// Position that a log must have to cover every commit acknowledged before `since_us`.
+    #[must_use]
+    pub fn covering(&self, since_us: u64) -> Option<Position> {
+        let index = self.samples.partition_point(|(asked_us, _)| *asked_us < since_us);
+        self.samples.get(index).map(|(_, position)| *position)
+    }
+
+    /// Time up to which a log with this position covers all commits, `None` if that is not known.
+    #[must_use]
+    pub fn covered_until_us(&self, position: Position) -> Option<u64> {
+        let index = self.samples.partition_point(|(_, sampled)| *sampled <= position);
+        let (asked_us, _) = self.samples.get(index.checked_sub(1)?)?;
+        Some(*asked_us)
+    }
+
+    /// The newest sample.
+    #[must_use]
+    pub fn newest(&self) -> Option<(u64, Position)> {
+        self.samples.back().copied()
+    }
+
+    /// The oldest sample.
+    #[must_use]
+    pub fn oldest(&self) -> Option<(u64, Position)> {
+        self.samples.front().copied()
+    }
+}
--- /dev/null
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -0,0 +1,44 @@
+//! Replica sets as the traffic machine sees them.
+
+use bytes::Bytes;
+use flamingorock_core::{Position, Term};
+
+use super::PositionHistory;
+use crate::{InstanceKey, SessionKey};
+
+/// Whether statements may be sent to the primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PrimaryState {
+    /// No primary is known.
+    Unknown,
+    /// It takes statements.
+    Serving,
+    /// Others reach it, this proxy does not.
+    Elsewhere,
+    /// It is being replaced.
+    Held { lets_end: bool, expected_us: u64 },
+}
+
+/// A replica set.
+#[derive(Debug)]
+pub struct ReplicaSet {
+    pub name: Bytes,
+    pub instances: Vec<InstanceKey>,
+    pub primary: Option<InstanceKey>,
+    pub state: PrimaryState,
+    pub term: Term,
+    pub positions: PositionHistory,
+    /// First position seen in the present term; it covers all commits that earlier terms have kept.
+    pub term_start: Option<Position>,
+    /// Connections that this proxy may hold at one instance.
+    pub connections_share: u32,
+    pub connections_limit: u32,
+    /// Sessions whose request waits for a connection.
+    pub waiting: Vec<SessionKey>,
+    /// Last time a read that replicas may serve arrived.
+    pub stale_read_us: u64,
+    /// Shortest staleness that any of its databases accepts, `u64::MAX` if none accepts any.
+    pub min_staleness_us: u64,
+    /// Last time a report of a quiet primary was sent, by the term that it was for.
+    pub quiet_reported: Option<Term>,
+}
--- /dev/null
+++ b/crates/pool/src/traffic/report.rs
@@ -0,0 +1,51 @@
+//! What the traffic machine tells the control machine.
+
+use bytes::Bytes;
+use flamingorock_core::{Position, Term};
+
+use crate::GroupAnswer;
+
+/// An observation of the traffic machine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Report {
+    /// The primary has given a sign of life. Sent at most once per interval and after a loss.
+    PrimaryHeard {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The instance.
+        instance: Bytes,
+        /// When.
+        at_us: u64,
+        /// Last position seen.
+        position: Option<Position>,
+    },
+    /// The primary cannot be reached: connections are refused or stay silent.
+    PrimaryLost {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The instance.
+        instance: Bytes,
+        /// Since when.
+        since_us: u64,
+    },
+    /// Nothing is outstanding at a primary that is held, and nothing more will be sent.
+    PrimaryQuiet {
+        /// The replica set.
+        replica_set: Bytes,
+        /// Term that is replaced.
+        term: Term,
+        /// Last position seen there.
+        position: Option<Position>,
+    },
+    /// An instance has refused to act as primary.
+    NotPrimary {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The instance.
+        instance: Bytes,
+    },
+    /// A call has ended.
+    GroupAnswer(GroupAnswer),
+    /// The last session has ended after [`Event::Stop`](super::Event::Stop).
+    Stopped,
+}
--- /dev/null
+++ b/crates/pool/src/traffic/session.rs
@@ -0,0 +1,88 @@
+//! Sessions of callers.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use flamingorock_core::{Position, TransactionStatus};
+
+use super::database::Database;
+use super::request::Request;
+use super::{PreparedId, Query};
+use crate::ConnectionKey;
+
+/// The transaction of a session.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Transaction {
+    /// None is open.
+    None,
+    /// The caller has begun one, but no instance knows it yet. It takes a connection with its first
+    /// statement, so that a pause after its begin blocks nothing.
+    Begun { id: Bytes, text: Bytes, read_only: bool },
+    /// Open at an instance.
+    Open { connection: ConnectionKey, read_only: bool, has_written: bool },
+    /// Rolled back by this proxy; the caller has not been told yet.
+    Aborted,
+    /// Failed and rolled back; the caller has not ended it yet.
+    Failed,
+}
+
+/// A caller's session.
+#[derive(Debug)]
+pub struct Session {
+    pub database: Bytes,
+    /// Whether the caller has been told that the session has started.
+    pub is_accepted: bool,
+    pub values: Vec<(Bytes, Bytes)>,
+    pub prepared: Vec<(Bytes, PreparedId)>,
+    /// Position that covers the session's own commits.
+    pub token: Option<Position>,
+    pub transaction: Transaction,
+    /// Rule of the open transaction; a new configuration applies from the next one.
+    pub bound: Option<Database>,
+    pub request: Option<Request>,
+    /// Statements that arrived while another one was being served.
+    pub backlog: VecDeque<Query>,
+    /// When the open transaction is rolled back for idleness, or the start refused.
+    pub idle_deadline_us: Option<u64>,
+}
+
+impl Session {
+    pub fn new() -> Self {
+        Self {
+            database: Bytes::new(),
+            is_accepted: false,
+            values: Vec::new(),
+            prepared: Vec::new(),
+            token: None,
+            transaction: Transaction::None,
+            bound: None,
+            request: None,
+            backlog: VecDeque::new(),
+            idle_deadline_us: None,
+        }
+    }
+
+    /// Transaction status that the caller is shown.
+    pub fn status(&self) -> TransactionStatus {
+        match self.transaction {
+            Transaction::None => TransactionStatus::Idle,
+            Transaction::Begun { .. } | Transaction::Open { .. } | Transaction::Aborted => {
+                TransactionStatus::Open
+            }
+            Transaction::Failed => TransactionStatus::Failed,
+        }
+    }
+
+    /// Number of a prepared statement by its name in this session.
+    pub fn prepared_id(&self, name: &Bytes) -> Option<PreparedId> {
+        self.prepared.iter().find(|(own, _)| own == name).map(|(_, id)| *id)
+    }
+
+    /// Connection of the open transaction.
+    pub fn pinned(&self) -> Option<ConnectionKey> {
+        match self.transaction {
+            Transaction::Open { connection, .. } => Some(connection),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/traffic/systems.rs
@@ -0,0 +1,29 @@
+//! Systems of the traffic machine, in the order in which a tick runs them.
+
+mod answers;
+mod configuration;
+mod connections;
+mod ending;
+mod expiry;
+mod group_calls;
+mod intake;
+mod losses;
+mod placement;
+mod quiescence;
+mod sending;
+mod sessions;
+mod shutdown;
+mod upkeep;
+
+use super::tables::Tables;
+
+/// Runs every system once.
+pub fn run(tables: &mut Tables, now_us: u64) {
+    intake::run(tables, now_us);
+    expiry::run(tables, now_us);
+    upkeep::run(tables, now_us);
+    group_calls::run(tables, now_us);
+    placement::run(tables, now_us);
+    quiescence::run(tables);
+    shutdown::run(tables, now_us);
+}
--- /dev/null
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -0,0 +1,324 @@
+//! Places waiting requests at instances, and refuses those that cannot be served.
+
+use flamingorock_core::Position;
+
+use super::super::Statement;
+use super::super::instance::Instance;
+use super::super::replica_set::{PrimaryState, ReplicaSet};
+use super::super::request::{Need, Request};
+use super::super::session::{Session, Transaction};
+use super::super::tables::{Due, Tables};
+use super::{connections, ending, sending};
+use crate::{ConnectionKey, ErrorCode, InstanceKey, ReplicaSetKey, SessionKey};
+
+/// Allowance for the distance between a caller's clock reading and this proxy's.
+const STALENESS_MARGIN_US: u64 = 50_000;
+/// Wait after which a stale read that finds no replica free may use the primary.
+const SPILL_AFTER_US: u64 = 15_000;
+/// Time after which callers may try again that this host cannot serve; another one may at once.
+const ELSEWHERE_RETRY_MS: u32 = 10;
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    for key in tables.replica_sets.keys_where(|set| !set.waiting.is_empty()) {
+        place_set(tables, key, now_us);
+    }
+}
+
+/// Where a request goes now.
+enum Place {
+    /// To an instance, over an idle connection.
+    On { connection: ConnectionKey, min_position: Option<Position> },
+    /// Nowhere yet.
+    Wait,
+    /// Nowhere yet; one more connection to an instance would help.
+    WaitForConnection(InstanceKey),
+    /// Nowhere before its timeout.
+    Refuse { retry_after_ms: u32, reason: &'static str },
+}
+
+fn place_set(tables: &mut Tables, key: ReplicaSetKey, now_us: u64) {
+    let Some(set) = tables.replica_sets.get_mut(key) else { return };
+    let mut waiting = core::mem::take(&mut set.waiting);
+    waiting.sort_by_key(|session| order(tables, *session, now_us));
+    let mut left = Vec::with_capacity(waiting.len());
+    for session in waiting {
+        match place(tables, key, session, now_us) {
+            Place::On { connection, min_position } => {
+                set_position(tables, session, min_position);
+                sending::start_on(tables, session, connection, now_us);
+            }
+            Place::Wait => left.push(session),
+            Place::WaitForConnection(instance) => {
+                left.push(session);
+                open_if_allowed(tables, instance, now_us);
+            }
+            Place::Refuse { retry_after_ms, reason } => {
+                refuse(tables, session, retry_after_ms, reason, now_us);
+            }
+        }
+    }
+    if let Some(set) = tables.replica_sets.get_mut(key) {
+        // Refusals may have let sessions queue their next statement meanwhile.
+        left.append(&mut set.waiting);
+        set.waiting = left;
+    }
+}
+
+/// Requests that can still meet their target come first, by rank, then by target.
+fn order(tables: &Tables, key: SessionKey, now_us: u64) -> (bool, u8, u64) {
+    match request(tables, key) {
+        Some(request) => (request.target_us < now_us, request.rank, request.target_us),
+        None => (true, u8::MAX, u64::MAX),
+    }
+}
+
+fn request(tables: &Tables, key: SessionKey) -> Option<&Request> {
+    tables.sessions.get(key)?.request.as_ref()
+}
+
+fn set_position(tables: &mut Tables, key: SessionKey, min_position: Option<Position>) {
+    if let Some(request) = tables.sessions.get_mut(key).and_then(|row| row.request.as_mut()) {
+        request.min_position = min_position;
+    }
+}
+
+fn place(tables: &mut Tables, key: ReplicaSetKey, session: SessionKey, now_us: u64) -> Place {
+    let Some(row) = tables.sessions.get(session) else { return Place::Wait };
+    let Some(request) = &row.request else { return Place::Wait };
+    if now_us < request.not_before_us {
+        let due_us = request.not_before_us;
+        tables.due.add(due_us, Due::Systems);
+        return Place::Wait;
+    }
+    let Some(set) = tables.replica_sets.get(key) else { return Place::Wait };
+    match request.need {
+        Need::Primary => at_primary(tables, set, row, request, now_us),
+        Need::Fresh { max_staleness_us, own_writes } => {
+            let since_us = (now_us + STALENESS_MARGIN_US).saturating_sub(max_staleness_us);
+            match required_position(set, row, since_us, own_writes) {
+                Some(position) => at_replica(tables, set, row, request, position, since_us, now_us),
+                None => at_primary(tables, set, row, request, now_us),
+            }
+        }
+    }
+}
+
+/// Position that a replica's log must have for this read, `None` if none is known.
+fn required_position(
+    set: &ReplicaSet,
+    session: &Session,
+    since_us: u64,
+    own_writes: bool,
+) -> Option<Position> {
+    let floor = set.positions.covering(since_us)?;
+    let Some(token) = session.token.filter(|_| own_writes) else { return Some(floor) };
+    // A position of an earlier term may have been rolled back. What the present term began with
+    // covers every commit that was kept.
+    let own = if token.term < set.term { set.term_start? } else { token };
+    Some(floor.max(own))
+}
+
+fn at_primary(
+    tables: &Tables,
+    set: &ReplicaSet,
+    session: &Session,
+    request: &Request,
+    now_us: u64,
+) -> Place {
+    match set.state {
+        PrimaryState::Unknown => return Place::Wait,
+        PrimaryState::Elsewhere => {
+            return Place::Refuse {
+                retry_after_ms: ELSEWHERE_RETRY_MS,
+                reason: "this proxy cannot reach the primary; others can",
+            };
+        }
+        PrimaryState::Held { expected_us, .. } if request.deadline_us < expected_us => {
+            return Place::Refuse {
+                retry_after_ms: milliseconds(expected_us.saturating_sub(now_us)),
+                reason: "the primary is being replaced and will not be back in time",
+            };
+        }
+        PrimaryState::Held { .. } => return Place::Wait,
+        PrimaryState::Serving => {}
+    }
+    if !tables.config.permit.holds(now_us) {
+        if tables.config.permit.until_us() == 0 {
+            return Place::Wait;
+        }
+        return Place::Refuse {
+            retry_after_ms: ELSEWHERE_RETRY_MS,
+            reason: "this proxy has lost contact with the others",
+        };
+    }
+    let Some(key) = set.primary else { return Place::Wait };
+    at_instance(tables, key, session, request, now_us)
+}
+
+fn milliseconds(span_us: u64) -> u32 {
+    u32::try_from(span_us.div_ceil(1000)).unwrap_or(u32::MAX)
+}
+
+/// An idle connection of one instance, if it has room for this rank.
+fn at_instance(
+    tables: &Tables,
+    key: InstanceKey,
+    session: &Session,
+    request: &Request,
+    now_us: u64,
+) -> Place {
+    let Some(instance) = tables.instances.get(key) else { return Place::Wait };
+    if now_us < instance.refusing_until_us
+        || tables.running(instance) >= running_limit(tables, instance, request.rank)
+    {
+        return Place::Wait;
+    }
+    match tables.idle_connection(key, &session.values) {
+        Some(connection) => Place::On { connection, min_position: None },
+        None if instance.is_lost => Place::Wait,
+        None => Place::WaitForConnection(key),
+    }
+}
+
+/// Statements that this proxy runs at an instance at a time: its share of twice the slots, so that
+/// slots stay busy while answers travel, and one more for the most urgent rank. What waits beyond
+/// that waits here, in the order of ranks, and not in the instance's queue.
+fn running_limit(tables: &Tables, instance: &Instance, rank: u8) -> u32 {
+    let proxies = tables.view.proxies.max(1);
+    let share = (instance.slots * 2).div_ceil(proxies).max(1);
+    share + u32::from(rank == 0)
+}
+
+/// Why an instance is not used for a read.
+#[derive(PartialEq)]
+enum Fitness {
+    Fits,
+    Busy,
+    Unfit,
+}
+
+fn at_replica(
+    tables: &Tables,
+    set: &ReplicaSet,
+    session: &Session,
+    request: &Request,
+    position: Position,
+    since_us: u64,
+    now_us: u64,
+) -> Place {
+    let mut best: Option<(u64, InstanceKey)> = None;
+    let mut has_busy = false;
+    for key in set.instances.iter().copied().filter(|key| set.primary != Some(*key)) {
+        match fitness(tables, set, key, request, position, since_us, now_us) {
+            Fitness::Fits => {
+                let cost_us = cost_us(tables, key);
+                if best.is_none_or(|(best_us, _)| cost_us < best_us) {
+                    best = Some((cost_us, key));
+                }
+            }
+            Fitness::Busy => has_busy = true,
+            Fitness::Unfit => {}
+        }
+    }
+    if let Some((_, key)) = best {
+        return on_idle(tables, key, session, position);
+    }
+    let has_waited = now_us >= request.arrived_us + SPILL_AFTER_US;
+    if has_busy && !(has_waited && has_spare(tables, set)) {
+        return Place::Wait;
+    }
+    match at_primary(tables, set, session, request, now_us) {
+        // The primary is away; a replica that is behind may catch up meanwhile.
+        Place::Refuse { .. } if has_busy => Place::Wait,
+        place => place,
+    }
+}
+
+fn on_idle(tables: &Tables, key: InstanceKey, session: &Session, position: Position) -> Place {
+    match tables.idle_connection(key, &session.values) {
+        Some(connection) => Place::On { connection, min_position: Some(position) },
+        None => Place::WaitForConnection(key),
+    }
+}
+
+fn fitness(
+    tables: &Tables,
+    set: &ReplicaSet,
+    key: InstanceKey,
+    request: &Request,
+    position: Position,
+    since_us: u64,
+    now_us: u64,
+) -> Fitness {
+    let Some(instance) = tables.instances.get(key) else { return Fitness::Unfit };
+    let is_unusable = instance.is_lost
+        || instance.is_leaving
+        || instance.is_failing()
+        || instance.suspect_since_us.is_some()
+        || (request.avoided == Some(key) && request.attempts > 0);
+    if is_unusable || !is_fresh(set, instance, position, since_us) {
+        return Fitness::Unfit;
+    }
+    let is_busy = now_us < instance.refusing_until_us
+        || tables.running(instance) >= running_limit(tables, instance, request.rank);
+    if is_busy { Fitness::Busy } else { Fitness::Fits }
+}
+
+/// Whether a replica's log is likely to have a position: it had it when last seen, or its lag then
+/// was shorter than the read allows.
+fn is_fresh(set: &ReplicaSet, instance: &Instance, position: Position, since_us: u64) -> bool {
+    let Some((seen_us, seen)) = instance.seen else { return false };
+    if seen >= position {
+        return true;
+    }
+    let Some(covered_us) = set.positions.covered_until_us(seen) else { return false };
+    let lag_us = seen_us.saturating_sub(covered_us);
+    let Some((newest_us, _)) = set.positions.newest() else { return false };
+    newest_us.saturating_sub(lag_us) >= since_us
+}
+
+/// Expected time of an answer, which decides between replicas.
+fn cost_us(tables: &Tables, key: InstanceKey) -> u64 {
+    const FAR_US: u64 = 1_000;
+    let Some(instance) = tables.instances.get(key) else { return u64::MAX };
+    let running = u64::from(tables.running(instance));
+    let distance_us = if instance.is_near { 0 } else { FAR_US };
+    instance.answer_us * (running + 1) + distance_us
+}
+
+/// Whether the primary has so little to do that it may take a read that replicas are too busy for.
+fn has_spare(tables: &Tables, set: &ReplicaSet) -> bool {
+    let Some(primary) = set.primary.and_then(|key| tables.instances.get(key)) else {
+        return false;
+    };
+    tables.running(primary) == 0
+}
+
+/// Opens a connection if the share of this proxy allows one more.
+fn open_if_allowed(tables: &mut Tables, key: InstanceKey, now_us: u64) {
+    let Some(instance) = tables.instances.get(key) else { return };
+    let Some(set) = tables.replica_sets.get(instance.replica_set) else { return };
+    let allowed = set.connections_share.max(2) as usize;
+    if instance.connections.len() < allowed && tables.opening(instance) == 0 {
+        connections::open(tables, key, now_us);
+    }
+}
+
+fn refuse(
+    tables: &mut Tables,
+    key: SessionKey,
+    retry_after_ms: u32,
+    reason: &'static str,
+    now_us: u64,
+) {
+    if let Some(session) = tables.sessions.get_mut(key) {
+        if session.transaction != Transaction::None {
+            let ends = matches!(
+                session.request.as_ref().map(|request| &request.query.statement),
+                Some(Statement::Commit)
+            );
+            session.transaction = if ends { Transaction::None } else { Transaction::Failed };
+        }
+    }
+    ending::fail(tables, key, None, ErrorCode::Busy, reason, Some(retry_after_ms), now_us);
+}
--- /dev/null
+++ b/crates/pool/src/traffic/systems/sending.rs
@@ -0,0 +1,141 @@
+//! Sends a request on a connection, step by step: session values, begin, statement.
+
+use bytes::Bytes;
+
+use super::super::connection::Outstanding;
+use super::super::request::Stage;
+use super::super::session::Transaction;
+use super::super::tables::Tables;
+use super::super::{Command, Statement};
+use crate::{ConnectionKey, SessionKey};
+
+/// Prepared shapes that a connection holds before it is cleared.
+const PREPARED_LIMIT: usize = 256;
+
+/// Gives a waiting request its connection.
+pub fn start_on(tables: &mut Tables, key: SessionKey, connection: ConnectionKey, now_us: u64) {
+    if let Some(row) = tables.connections.get_mut(connection) {
+        row.session = Some(key);
+    }
+    continue_on(tables, key, connection, now_us);
+}
+
+/// Sends a request on the connection that its session holds.
+pub fn continue_on(tables: &mut Tables, key: SessionKey, connection: ConnectionKey, now_us: u64) {
+    let commands = sync_commands(tables, key, connection);
+    if commands.is_empty() {
+        return send_next(tables, key, connection, now_us);
+    }
+    set_stage(tables, key, Stage::Syncing { connection });
+    for command in commands {
+        note_sync(tables, connection, &command);
+        tables.send(connection, Outstanding::Sync, command, now_us);
+    }
+}
+
+/// Sends what comes after the session values: the begin of the transaction, or the statement.
+pub fn send_next(tables: &mut Tables, key: SessionKey, connection: ConnectionKey, now_us: u64) {
+    let Some(session) = tables.sessions.get_mut(key) else { return };
+    let Some(request) = &mut session.request else { return };
+    if let Transaction::Begun { id, text, .. } = &session.transaction {
+        request.stage = Stage::Beginning { connection };
+        request.sent_us = now_us;
+        let command = Command::Forward {
+            id: id.clone(),
+            text: text.clone(),
+            min_position: request.min_position,
+        };
+        return tables.send(connection, Outstanding::Begin, command, now_us);
+    }
+    send_statement(tables, key, connection, now_us);
+}
+
+/// Sends the statement itself.
+pub fn send_statement(
+    tables: &mut Tables,
+    key: SessionKey,
+    connection: ConnectionKey,
+    now_us: u64,
+) {
+    let Some(session) = tables.sessions.get_mut(key) else { return };
+    let in_transaction = session.pinned().is_some();
+    let Some(request) = &mut session.request else { return };
+    request.stage = Stage::Running { connection };
+    request.sent_us = now_us;
+    // Inside a transaction the position was required at its begin.
+    let min_position = request.min_position.filter(|_| !in_transaction);
+    let id = request.query.id.clone();
+    let command = match &request.query.statement {
+        Statement::Execute { name, arguments } => {
+            let arguments = arguments.clone();
+            let found = session.prepared.iter().find(|(own, _)| own == name);
+            // Checked when the statement arrived; only the session itself forgets names.
+            let Some((_, prepared)) = found else { return };
+            Command::Execute { id, prepared: *prepared, arguments, min_position }
+        }
+        _ => Command::Forward { id, text: request.query.text.clone(), min_position },
+    };
+    if let Transaction::Open { has_written, .. } = &mut session.transaction {
+        *has_written |= request.writes;
+    }
+    tables.send(connection, Outstanding::Statement, command, now_us);
+}
+
+fn set_stage(tables: &mut Tables, key: SessionKey, stage: Stage) {
+    if let Some(request) = tables.sessions.get_mut(key).and_then(|row| row.request.as_mut()) {
+        request.stage = stage;
+    }
+}
+
+/// Commands that give a connection the session's values and the shape that it executes.
+fn sync_commands(tables: &Tables, key: SessionKey, connection: ConnectionKey) -> Vec<Command> {
+    let Some(session) = tables.sessions.get(key) else { return Vec::new() };
+    let Some(connection) = tables.connections.get(connection) else { return Vec::new() };
+    let is_foreign =
+        |(name, _): &(Bytes, Bytes)| !session.values.iter().any(|(own, _)| own == name);
+    let is_crowded = connection.prepared.len() >= PREPARED_LIMIT && session.pinned().is_none();
+    let needs_reset = is_crowded || connection.values.iter().any(is_foreign);
+    let mut commands = Vec::new();
+    if needs_reset {
+        commands.push(Command::Reset);
+    }
+    for (name, value) in &session.values {
+        let is_set = connection.values.iter().any(|(own, present)| own == name && present == value);
+        if needs_reset || !is_set {
+            commands.push(Command::Set { name: name.clone(), value: value.clone() });
+        }
+    }
+    if let Some(Statement::Execute { name, .. }) =
+        session.request.as_ref().map(|request| &request.query.statement)
+    {
+        if let Some(id) = session.prepared_id(name) {
+            if needs_reset || !connection.prepared.contains(&id) {
+                let shape = tables.prepared.get(id);
+                commands.push(Command::Prepare {
+                    prepared: id,
+                    mode: shape.mode,
+                    shape: shape.shape.clone(),
+                });
+            }
+        }
+    }
+    commands
+}
+
+/// Notes what the connection holds once the command is done. If one fails the connection is closed.
+fn note_sync(tables: &mut Tables, connection: ConnectionKey, command: &Command) {
+    let Some(connection) = tables.connections.get_mut(connection) else { return };
+    match command {
+        Command::Reset => {
+            connection.values.clear();
+            connection.prepared.clear();
+        }
+        Command::Set { name, value } => {
+            connection.values.retain(|(own, _)| own != name);
+            connection.values.push((name.clone(), value.clone()));
+            connection.values.sort();
+        }
+        Command::Prepare { prepared, .. } => connection.prepared.push(*prepared),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/pool/src/traffic/systems/shutdown.rs
@@ -0,0 +1,35 @@
+//! Ends the sessions of a process that has been told to stop.
+
+use super::super::session::{Session, Transaction};
+use super::super::tables::Tables;
+use super::super::{Action, Report};
+use super::ending;
+use crate::SessionKey;
+
+pub fn run(tables: &mut Tables, now_us: u64) {
+    let Some(stopping) = tables.stopping else { return };
+    if now_us < stopping.close_idle_us {
+        return;
+    }
+    let aborts = now_us >= stopping.abort_us;
+    let done = tables.sessions.keys_where(|session| may_close(session, aborts));
+    for key in done {
+        close(tables, key, now_us);
+    }
+    if tables.sessions.is_empty() && !stopping.reported {
+        tables.stopping = Some(super::super::tables::Stopping { reported: true, ..stopping });
+        tables.reports.push(Report::Stopped);
+    }
+}
+
+/// Whether nothing of the session would be cut off, or its transaction has had its time.
+fn may_close(session: &Session, aborts: bool) -> bool {
+    let is_between = matches!(session.transaction, Transaction::None);
+    session.request.is_none() && (is_between || aborts)
+}
+
+fn close(tables: &mut Tables, key: SessionKey, now_us: u64) {
+    ending::abandon(tables, key, now_us);
+    tables.sessions.remove(key);
+    tables.actions.push(Action::CloseSession { session: key });
+}
--- /dev/null
+++ b/crates/pool/src/traffic/traffic_config.rs
@@ -0,0 +1,13 @@
+//! Parameters of the traffic machine.
+
+use crate::Permit;
+use bytes::Bytes;
+
+/// Parameters of the traffic machine.
+#[derive(Clone, Debug)]
+pub struct TrafficConfig {
+    /// Data centre of the host.
+    pub data_centre: Bytes,
+    /// Permission to serve from primaries.
+    pub permit: Permit,
+}
