--- a/crates/pool/src/control/change.rs
+++ b/crates/pool/src/control/change.rs
@@ -115,6 +115,15 @@
         /// Term that is replaced.
         term: u64,
     },
+    /// proxy {proxy} uses the held primary of {replica_set} no longer; its last position is {position}
+    Stopped {
+        /// The replica set.
+        replica_set: String,
+        /// The proxy.
+        proxy: String,
+        /// Last position that it saw there.
+        position: String,
+    },
     /// claiming the replacement of the primary of {replica_set} with fence {fence}: {reason}
     Claiming {
         /// The replica set.
@@ -186,6 +195,7 @@
             Self::PrimaryLost { .. } => "primary_lost",
             Self::PrimaryRegained { .. } => "primary_regained",
             Self::Held { .. } => "primary_held",
+            Self::Stopped { .. } => "proxy_stopped",
             Self::Claiming { .. } => "claiming",
             Self::ClaimDropped { .. } => "claim_dropped",
             Self::Promoting { .. } => "promoting",
--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -81,6 +81,7 @@
         last_position: set.last_position,
         statuses: Vec::new(),
         next_us: now_us,
+        ask_us: now_us,
         is_writing: true,
     });
     tables.changes.push(Change::Claiming { replica_set: text(name), fence, reason });
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -48,10 +48,11 @@
             set.lost_since_us = None;
             set.heard_us = now_us;
             set.takeover = None;
+            // The traffic thread uses the new primary; a claim alone leaves the old one unused.
+            set.quiet_term = None;
         }
     }
     set.claim_us = None;
-    set.quiet_term = None;
     set.record = Some(KnownRecord { record, revision, seen_us: now_us });
     tables.is_changed = true;
     tables.is_urgent = true;
@@ -65,6 +66,11 @@
     }
     set.quiet_term = Some(term);
     set.last_position = position;
+    tables.changes.push(Change::Stopped {
+        replica_set: text(name),
+        proxy: text(&tables.config.name),
+        position: format!("{position:?}"),
+    });
     if let Some(takeover) = &mut set.takeover {
         takeover.last_position = takeover.last_position.max(position);
     }
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -212,13 +212,22 @@
     fence: u64,
     position: Option<Position>,
 ) {
-    with(tables, name, |_, takeover| {
-        if takeover.fence == fence && !takeover.stopped.contains(&from) {
-            takeover.stopped.push(from);
+    let is_news = with(tables, name, |_, takeover| {
+        let is_news = takeover.fence == fence && !takeover.stopped.contains(&from);
+        if is_news {
+            takeover.stopped.push(from.clone());
             takeover.last_position = takeover.last_position.max(position);
             takeover.next_us = 0;
         }
+        is_news
     });
+    if is_news == Some(true) {
+        tables.changes.push(Change::Stopped {
+            replica_set: text(name),
+            proxy: text(&from),
+            position: format!("{position:?}"),
+        });
+    }
 }
 
 /// A candidate or the promoted instance has reported its state.
@@ -249,7 +258,9 @@
         return claims::claim(tables, name, takeover.is_planned, "the claim expired", now_us);
     }
     if !have_all_stopped(tables, name, &takeover, now_us) {
-        broadcast(tables, name, &takeover.stopped);
+        if now_us >= takeover.ask_us {
+            broadcast(tables, name, &takeover.stopped);
+        }
         ask_candidates(tables, name, &takeover, now_us);
         return;
     }
@@ -269,6 +280,9 @@
 }
 
 fn ask_candidates(tables: &mut Tables, name: &Bytes, takeover: &Takeover, now_us: u64) {
+    if !may_ask(tables, name, now_us) {
+        return;
+    }
     for instance in candidates(tables, name, takeover) {
         tables.actions.push(Action::Call(GroupCall {
             replica_set: name.clone(),
@@ -386,6 +400,18 @@
     });
 }
 
+/// Whether it is time for the next questions to instances.
+fn may_ask(tables: &mut Tables, name: &Bytes, now_us: u64) -> bool {
+    let may_ask = with(tables, name, |_, takeover| {
+        let may_ask = now_us >= takeover.ask_us;
+        if may_ask {
+            takeover.ask_us = now_us + POLL_US;
+        }
+        may_ask
+    });
+    may_ask == Some(true)
+}
+
 /// Asks the promoted instance until it leads.
 fn settle(tables: &mut Tables, name: &Bytes, instance: &Bytes, since_us: u64, now_us: u64) {
     let Some(is_planned) = with(tables, name, |_, takeover| {
@@ -398,6 +424,9 @@
         drop_claim(tables, name, "the promoted instance does not lead");
         return claims::claim(tables, name, is_planned, "the promotion had no effect", now_us);
     }
+    if !may_ask(tables, name, now_us) {
+        return;
+    }
     tables.actions.push(Action::Call(GroupCall {
         replica_set: name.clone(),
         instance: instance.clone(),
--- a/crates/pool/src/control/takeover.rs
+++ b/crates/pool/src/control/takeover.rs
@@ -44,6 +44,8 @@
     pub statuses: Vec<(Bytes, InstanceStatus)>,
     /// When the stage is looked at next.
     pub next_us: u64,
+    /// When instances may be asked next. An answer leads to a look at once, but not to a question.
+    pub ask_us: u64,
     /// Whether a store call of this replacement is outstanding.
     pub is_writing: bool,
 }
--- a/crates/pool/src/traffic/position_history.rs
+++ b/crates/pool/src/traffic/position_history.rs
@@ -13,9 +13,9 @@
 
 impl PositionHistory {
     /// Closest distance of two samples that are kept.
-    const SPACING_US: u64 = 50_000;
-    /// Samples that are kept: ten seconds' worth.
-    const CAPACITY: usize = 200;
+    const SPACING_US: u64 = 10_000;
+    /// Samples that are kept: several seconds' worth under load.
+    const CAPACITY: usize = 512;
 
     /// Adds a sample.
     pub fn record(&mut self, asked_us: u64, position: Position) {
--- a/crates/pool/src/traffic/request.rs
+++ b/crates/pool/src/traffic/request.rs
@@ -47,6 +47,8 @@
     pub writes: bool,
     /// Instance that refused it last.
     pub avoided: Option<InstanceKey>,
+    /// Whether a replica was found to be behind what it needs.
+    pub prefers_primary: bool,
     /// Position that the log was required to have.
     pub min_position: Option<Position>,
     pub sent_us: u64,
--- a/crates/pool/src/traffic/session.rs
+++ b/crates/pool/src/traffic/session.rs
@@ -36,6 +36,8 @@
     pub prepared: Vec<(Bytes, PreparedId)>,
     /// Position that covers the session's own commits.
     pub token: Option<Position>,
+    /// When the token was raised.
+    pub token_us: u64,
     pub transaction: Transaction,
     /// Rule of the open transaction; a new configuration applies from the next one.
     pub bound: Option<Database>,
@@ -54,6 +56,7 @@
             values: Vec::new(),
             prepared: Vec::new(),
             token: None,
+            token_us: 0,
             transaction: Transaction::None,
             bound: None,
             request: None,
--- a/crates/pool/src/traffic/systems/answers.rs
+++ b/crates/pool/src/traffic/systems/answers.rs
@@ -169,16 +169,17 @@
         return retry(tables, key, Some(instance), "the primary was replaced", now_us);
     }
     if writes {
-        raise_token(tables, key, &answer);
+        raise_token(tables, key, &answer, now_us);
     }
     let by_primary = tables.serves_as_primary(instance);
     ending::deliver(tables, key, answer, by_primary, now_us);
 }
 
 /// The session must see its own commit from now on.
-fn raise_token(tables: &mut Tables, key: SessionKey, answer: &Answer) {
+fn raise_token(tables: &mut Tables, key: SessionKey, answer: &Answer, now_us: u64) {
     if let Some(session) = tables.sessions.get_mut(key) {
         session.token = session.token.max(answer.position);
+        session.token_us = now_us;
     }
 }
 
@@ -206,7 +207,7 @@
         return superseded_inside(tables, key, connection, is_commit && has_written, now_us);
     }
     if answer.outcome.error().is_none() && is_commit && has_written {
-        raise_token(tables, key, &answer);
+        raise_token(tables, key, &answer, now_us);
     }
     settle_transaction(tables, key, connection, answer.status, now_us);
     if answer.outcome.error() == Some(ErrorCode::ReadOnly) {
@@ -315,6 +316,9 @@
         ErrorCode::Failed => !writes && attempts < FAILED_READ_ATTEMPTS,
         _ => code.is_not_run() && attempts < ATTEMPTS,
     };
+    if code == ErrorCode::Lagging {
+        note_lagging(tables, key);
+    }
     if may_retry {
         return retry(
             tables,
@@ -364,6 +368,13 @@
     }
 }
 
+/// A replica was behind: the primary is asked next, so that the request does not go round.
+fn note_lagging(tables: &mut Tables, key: SessionKey) {
+    if let Some(request) = tables.sessions.get_mut(key).and_then(|row| row.request.as_mut()) {
+        request.prefers_primary = true;
+    }
+}
+
 /// The instance has lost prepared statements that this proxy believed it had.
 fn forget_prepared(tables: &mut Tables, instance: InstanceKey) {
     for (_, connection) in tables.connections.iter_mut() {
--- a/crates/pool/src/traffic/systems/connections.rs
+++ b/crates/pool/src/traffic/systems/connections.rs
@@ -19,7 +19,7 @@
 /// Largest delay before a failed connection is tried again.
 const CONNECT_BACKOFF_MAX_US: u64 = 320_000;
 /// Delay before an instance whose connections are exhausted is asked for one again.
-const EXHAUSTED_BACKOFF_US: u64 = 250_000;
+const EXHAUSTED_BACKOFF_US: u64 = 100_000;
 /// Delay before an address is tried again at which another instance answered.
 const WRONG_INSTANCE_BACKOFF_US: u64 = 1_000_000;
 /// Shortest interval of reports that the primary lives.
@@ -89,7 +89,15 @@
     }
 }
 
-/// A connection has failed before it was ready.
+/// An instance takes no more connections for now.
+pub fn back_off(tables: &mut Tables, key: InstanceKey, now_us: u64) {
+    let Some(instance) = tables.instances.get_mut(key) else { return };
+    instance.connect_after_us = now_us + EXHAUSTED_BACKOFF_US;
+    let due_us = instance.connect_after_us;
+    tables.due.add(due_us, Due::Systems);
+}
+
+/// A connection could not be established.
 pub fn note_start_failure(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     let Some(instance) = tables.instances.get_mut(key) else { return };
     let backoff_us =
--- a/crates/pool/src/traffic/systems/expiry.rs
+++ b/crates/pool/src/traffic/systems/expiry.rs
@@ -28,8 +28,12 @@
         return;
     }
     let instance = row.instance;
+    let is_established = row.state == ConnectionState::Starting;
     losses::lose_and_close(tables, key, now_us);
-    connections::note_start_failure(tables, instance, now_us);
+    match is_established {
+        true => connections::back_off(tables, instance, now_us),
+        false => connections::note_start_failure(tables, instance, now_us),
+    }
 }
 
 fn session(tables: &mut Tables, key: SessionKey, now_us: u64) {
--- a/crates/pool/src/traffic/systems/losses.rs
+++ b/crates/pool/src/traffic/systems/losses.rs
@@ -14,11 +14,16 @@
 pub fn lose(tables: &mut Tables, key: ConnectionKey, now_us: u64) {
     let Some(connection) = tables.drop_connection(key) else { return };
     let instance = connection.instance;
-    if connection.state == ConnectionState::Ready {
-        connections::suspect(tables, instance, now_us);
-        connections::open(tables, instance, now_us);
-    } else {
-        connections::note_start_failure(tables, instance, now_us);
+    match connection.state {
+        ConnectionState::Ready => {
+            connections::suspect(tables, instance, now_us);
+            connections::open(tables, instance, now_us);
+        }
+        // The host has taken the connection: the instance lives, but takes no more of them.
+        ConnectionState::Starting => connections::back_off(tables, instance, now_us),
+        ConnectionState::Connecting => {
+            connections::note_start_failure(tables, instance, now_us);
+        }
     }
     finish_work(tables, key, connection, "the connection to the instance was lost", now_us);
 }
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -15,6 +15,10 @@
 const STALENESS_MARGIN_US: u64 = 50_000;
 /// Wait after which a stale read that finds no replica free may use the primary.
 const SPILL_AFTER_US: u64 = 15_000;
+/// Silence of a replica during which its lag is taken to be as last seen.
+const UNHEARD_US: u64 = 150_000;
+/// Allowance for the spread of lags.
+const LAG_MARGIN_US: u64 = 10_000;
 /// Time after which callers may try again that this host cannot serve; another one may at once.
 const ELSEWHERE_RETRY_MS: u32 = 10;
 
@@ -96,13 +100,23 @@
         Need::Fresh { max_staleness_us, own_writes } => {
             let since_us = (now_us + STALENESS_MARGIN_US).saturating_sub(max_staleness_us);
             match required_position(set, row, since_us, own_writes) {
-                Some(position) => at_replica(tables, set, row, request, position, since_us, now_us),
-                None => at_primary(tables, set, row, request, now_us),
+                Some(position) if !request.prefers_primary || !can_serve(set) => {
+                    // The session's own commits must be covered as well.
+                    let own_us = if own_writes { row.token_us } else { 0 };
+                    let since_us = since_us.max(own_us);
+                    at_replica(tables, set, row, request, position, since_us, now_us)
+                }
+                _ => at_primary(tables, set, row, request, now_us),
             }
         }
     }
 }
 
+/// Whether the primary takes statements.
+fn can_serve(set: &ReplicaSet) -> bool {
+    set.state == PrimaryState::Serving
+}
+
 /// Position that a replica's log must have for this read, `None` if none is known.
 fn required_position(
     set: &ReplicaSet,
@@ -256,7 +270,7 @@
         || instance.is_failing()
         || instance.suspect_since_us.is_some()
         || (request.avoided == Some(key) && request.attempts > 0);
-    if is_unusable || !is_fresh(set, instance, position, since_us) {
+    if is_unusable || !is_fresh(set, instance, position, since_us, now_us) {
         return Fitness::Unfit;
     }
     let is_busy = now_us < instance.refusing_until_us
@@ -264,17 +278,25 @@
     if is_busy { Fitness::Busy } else { Fitness::Fits }
 }
 
-/// Whether a replica's log is likely to have a position: it had it when last seen, or its lag then
-/// was shorter than the read allows.
-fn is_fresh(set: &ReplicaSet, instance: &Instance, position: Position, since_us: u64) -> bool {
+/// Whether a replica's log is likely to have a position that covers the commits before `since_us`:
+/// it had the position when last seen, or its lag then was shorter than the read allows.
+fn is_fresh(
+    set: &ReplicaSet,
+    instance: &Instance,
+    position: Position,
+    since_us: u64,
+    now_us: u64,
+) -> bool {
     let Some((seen_us, seen)) = instance.seen else { return false };
     if seen >= position {
         return true;
     }
     let Some(covered_us) = set.positions.covered_until_us(seen) else { return false };
     let lag_us = seen_us.saturating_sub(covered_us);
-    let Some((newest_us, _)) = set.positions.newest() else { return false };
-    newest_us.saturating_sub(lag_us) >= since_us
+    // Lags vary, and a replica that was not heard lately may have stopped receiving.
+    let silent_us = now_us.saturating_sub(seen_us).saturating_sub(UNHEARD_US);
+    let horizon_us = now_us.saturating_sub(lag_us + lag_us / 2 + silent_us + LAG_MARGIN_US);
+    horizon_us >= since_us
 }
 
 /// Expected time of an answer, which decides between replicas.
--- a/crates/pool/src/traffic/systems/sessions.rs
+++ b/crates/pool/src/traffic/systems/sessions.rs
@@ -265,6 +265,7 @@
         need,
         writes,
         avoided: None,
+        prefers_primary: false,
         min_position: None,
         sent_us: 0,
     };
