--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -32,6 +32,8 @@
     pub term_start: Option<Position>,
     /// Connections that this proxy may hold at one instance.
     pub connections_share: u32,
+    /// Idle connections that it keeps open at one instance.
+    pub connections_kept: u32,
     pub connections_limit: u32,
     /// Sessions whose request waits for a connection.
     pub waiting: Vec<SessionKey>,
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -53,6 +53,7 @@
         positions: PositionHistory::default(),
         term_start: None,
         connections_share: 1,
+        connections_kept: 1,
         connections_limit: 1,
         waiting: Vec::new(),
         stale_read_us: 0,
@@ -138,6 +139,9 @@
     }
     // One connection is left for a proxy that is just starting.
     set.connections_share = (set.connections_limit.saturating_sub(1) / proxies).max(1);
+    // After a loss of power an instance counts the connections of the dead for some seconds. With a
+    // third in use the same proxies find room at once.
+    set.connections_kept = (set.connections_limit / 3 / proxies).max(1);
 }
 
 fn apply_primary(tables: &mut Tables, key: ReplicaSetKey, view: &PrimaryView, now_us: u64) {
--- a/crates/pool/src/traffic/systems/upkeep.rs
+++ b/crates/pool/src/traffic/systems/upkeep.rs
@@ -23,7 +23,7 @@
 const IDLE_PROBE_US: u64 = 2_000_000;
 /// Time since the last stale read after which a set counts as serving none.
 const STALE_READS_US: u64 = 5_000_000;
-/// Idle time after which connections beyond the share are closed.
+/// Idle time after which connections beyond those that are kept are closed.
 const SURPLUS_IDLE_US: u64 = 2_000_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
@@ -132,12 +132,12 @@
     }
 }
 
-/// Closes idle connections beyond the share of this proxy, and all of an instance that leaves.
+/// Closes idle connections beyond those that are kept.
 fn close_surplus(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     let Some(instance) = tables.instances.get(key) else { return };
     let Some(set) = tables.replica_sets.get(instance.replica_set) else { return };
-    let share = set.connections_share as usize;
-    let surplus = instance.connections.len().saturating_sub(share);
+    let kept = set.connections_kept as usize;
+    let surplus = instance.connections.len().saturating_sub(kept);
     let is_old = |key: &ConnectionKey| {
         tables.connections.get(*key).is_some_and(|connection: &Connection| {
             connection.state == ConnectionState::Ready
