--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -10,9 +10,14 @@
 
 /// How long the store may hold a watch. Short enough that a silent connection is noticed within the
 /// time in which a configuration must be in force.
-const WATCH_WAIT_MS: u32 = 1_500;
+const WATCH_WAIT_MS: u32 = 3_000;
+/// How long the store may hold a watch of a large fleet, where the first proxy whose watch ends tells
+/// the others of a newer version.
+const LARGE_WATCH_WAIT_MS: u32 = 6_000;
+/// Smallest fleet that counts as large.
+const LARGE_FLEET: usize = 11;
 /// Time beyond the wait after which a watch is given up.
-const WATCH_SLACK_US: u64 = 500_000;
+const WATCH_SLACK_US: u64 = 400_000;
 /// Time after which a page is given up.
 const LIST_TIMEOUT_US: u64 = 1_000_000;
 /// Delay after a failed call, doubled with each failure.
@@ -20,10 +25,13 @@
 /// Largest delay after a failed call.
 const BACKOFF_MAX_US: u64 = 400_000;
 /// Silence after which the store counts as lost.
-const LOST_US: u64 = 2_500_000;
+const LOST_US: u64 = 4_000_000;
+/// Time for the watch to bring a version that another proxy has reported.
+const VERSION_US: u64 = 300_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     note_silence(tables, now_us);
+    read_missed_version(tables, now_us);
     if tables.mirror.is_calling || now_us < tables.mirror.next_us {
         return;
     }
@@ -36,13 +44,34 @@
         // The next page is asked for as soon as one arrives; this is a page that failed.
         MirrorStage::Listing { .. } => tables.mirror.stage = MirrorStage::Idle,
         MirrorStage::Watching { after_revision } => {
-            let deadline_us = now_us + u64::from(WATCH_WAIT_MS) * 1000 + WATCH_SLACK_US;
-            let watch = StoreCall::Watch { after_revision, wait_ms: WATCH_WAIT_MS };
+            let is_large = tables.fleet_size(now_us) >= LARGE_FLEET;
+            let wait_ms = if is_large { LARGE_WATCH_WAIT_MS } else { WATCH_WAIT_MS };
+            let deadline_us = now_us + u64::from(wait_ms) * 1000 + WATCH_SLACK_US;
+            let watch = StoreCall::Watch { after_revision, wait_ms };
             call(tables, watch, deadline_us);
         }
     }
 }
 
+/// Reads everything beside the watch if another proxy has a newer configuration, or knows of a claim
+/// that this one has not seen: the watch may be silent.
+fn read_missed_version(tables: &mut Tables, now_us: u64) {
+    let is_behind = tables.reported_version > tables.configuration.version
+        || tables.sets.values().any(ReplicaSetState::has_unseen_claim);
+    if !is_behind {
+        tables.mirror.behind_since_us = None;
+        return;
+    }
+    let since_us = *tables.mirror.behind_since_us.get_or_insert(now_us);
+    let is_watching = matches!(tables.mirror.stage, MirrorStage::Watching { .. });
+    if is_watching && tables.mirror.is_calling && now_us >= since_us + VERSION_US {
+        tables.mirror.behind_since_us = None;
+        // The answer of the abandoned watch is ignored when it comes.
+        tables.mirror.stage = MirrorStage::Idle;
+        tables.mirror.is_calling = false;
+    }
+}
+
 fn call(tables: &mut Tables, call: StoreCall, deadline_us: u64) {
     tables.mirror.is_calling = true;
     tables.call_store(call, deadline_us);
@@ -72,6 +101,9 @@
 }
 
 pub fn answered(tables: &mut Tables, answer: StoreAnswer, now_us: u64) {
+    if !is_expected(tables, &answer.call) {
+        return;
+    }
     tables.mirror.is_calling = false;
     match answer.outcome {
         StoreOutcome::Page { items, as_of, next } => {
@@ -96,6 +128,17 @@
     }
 }
 
+/// Whether an answer belongs to the present stage, and not to a watch that was abandoned.
+fn is_expected(tables: &Tables, call: &StoreCall) -> bool {
+    match (&tables.mirror.stage, call) {
+        (MirrorStage::Watching { after_revision }, StoreCall::Watch { after_revision: own, .. }) => {
+            after_revision == own
+        }
+        (MirrorStage::Listing { .. }, StoreCall::List { .. }) => true,
+        _ => false,
+    }
+}
+
 /// After a failed watch everything is read again: the history may be gone, and a watch that was cut
 /// may have missed changes.
 fn back_off(tables: &mut Tables, now_us: u64) {
--- a/crates/pool/src/control/systems/permits.rs
+++ b/crates/pool/src/control/systems/permits.rs
@@ -36,8 +36,10 @@
 fn read_store_if_low(tables: &mut Tables, now_us: u64) {
     let is_low = tables.config.permit.until_us() < now_us + LOW_US;
     let is_watching = matches!(tables.mirror.stage, MirrorStage::Watching { .. });
-    if is_low && is_watching && !tables.mirror.is_calling {
+    if is_low && is_watching {
+        // The answer of the abandoned watch is ignored when it comes.
         tables.mirror.stage = MirrorStage::Idle;
+        tables.mirror.is_calling = false;
     }
 }
 
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -36,6 +36,8 @@
     pub heard_us: u64,
     pub contact_since_us: u64,
     pub is_lost: bool,
+    /// Since when another proxy is known to have something newer.
+    pub behind_since_us: Option<u64>,
     /// Send time of the last answered call, as evidence that no claim was missed.
     pub evidence_us: u64,
 }
@@ -100,6 +102,7 @@
                 heard_us: now_us,
                 contact_since_us: now_us,
                 is_lost: false,
+                behind_since_us: None,
                 evidence_us: 0,
             },
             registration: Registration::default(),
