--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::super::replica_set_state::KnownRecord;
+use super::permits;
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
 use super::super::{Change, Condition, PromotionRecord, PromotionState, StoreCall};
@@ -20,6 +21,9 @@
     reason: &'static str,
     now_us: u64,
 ) {
+    if !permits::has_majority(tables, now_us) {
+        return;
+    }
     let turn = turn(tables, name, now_us);
     let Some(set) = tables.sets.get_mut(name) else { return };
     let due_us = *set.claim_us.get_or_insert(now_us + turn * TURN_US);
--- a/crates/pool/src/control/systems/permits.rs
+++ b/crates/pool/src/control/systems/permits.rs
@@ -21,6 +21,13 @@
     note_change(tables, now_us);
 }
 
+/// Whether a majority of the fleet has heard this proxy within the time of a permit. Without it this
+/// proxy may be the one that is cut off, and claims nothing.
+pub fn has_majority(tables: &Tables, now_us: u64) -> bool {
+    majority_confirmed_us(tables, now_us)
+        .is_some_and(|confirmed_us| now_us < confirmed_us + PERMIT_US)
+}
+
 /// Time up to which a majority of the fleet has confirmed to have heard this proxy. Each of them
 /// passes on the claims that it knows.
 fn majority_confirmed_us(tables: &Tables, now_us: u64) -> Option<u64> {
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -7,6 +7,7 @@
 mod expiry;
 mod group_calls;
 mod intake;
+mod isolation;
 mod losses;
 mod placement;
 mod quiescence;
@@ -25,5 +26,6 @@
     group_calls::run(tables, now_us);
     placement::run(tables, now_us);
     quiescence::run(tables);
+    isolation::run(tables, now_us);
     shutdown::run(tables, now_us);
 }
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -11,7 +11,7 @@
 use super::super::replica_set::{PrimaryState, ReplicaSet};
 use super::super::session::Transaction;
 use super::super::tables::{Due, Tables};
-use super::{ending, losses, sessions};
+use super::{connections, ending, losses, sessions};
 use crate::{
     ErrorCode, InstanceKey, InstanceView, PoolView, PrimaryView, ReplicaSetKey, ReplicaSetView,
 };
@@ -179,17 +179,19 @@
         losses::clear_primary(tables, former, now_us);
     }
     if let Some(primary) = primary.filter(|_| former != primary) {
-        reconsider(tables, primary);
+        reconsider(tables, primary, now_us);
     }
 }
 
-/// A new primary may have been found lost before it was one.
-fn reconsider(tables: &mut Tables, key: InstanceKey) {
-    if let Some(instance) = tables.instances.get_mut(key) {
-        instance.reported_us = 0;
-        if instance.is_lost {
-            losses::report_lost(tables, key);
-        }
+/// An instance may have been found lost before it became the primary, during a cut that is over. It
+/// is tried again before that is reported.
+fn reconsider(tables: &mut Tables, key: InstanceKey, now_us: u64) {
+    let Some(instance) = tables.instances.get_mut(key) else { return };
+    instance.reported_us = 0;
+    if core::mem::take(&mut instance.is_lost) {
+        instance.suspect_since_us = Some(now_us);
+        instance.connect_after_us = 0;
+        connections::open(tables, key, now_us);
     }
 }
 
--- a/crates/pool/src/traffic/systems/sessions.rs
+++ b/crates/pool/src/traffic/systems/sessions.rs
@@ -14,8 +14,12 @@
 const START_PATIENCE_US: u64 = 1_800_000;
 
 pub fn start(tables: &mut Tables, key: SessionKey, database: Bytes, now_us: u64) {
+    let has_lost_contact = tables.has_lost_contact(now_us);
     let Some(session) = tables.sessions.get_mut(key) else { return };
     session.database = database;
+    if has_lost_contact {
+        return refuse(tables, key, ErrorCode::Busy);
+    }
     session.idle_deadline_us = Some(now_us + START_PATIENCE_US);
     tables.due.add(now_us + START_PATIENCE_US, Due::Session(key));
     accept(tables, key);
@@ -39,7 +43,7 @@
 
 /// Refuses a session that has not started.
 pub fn refuse(tables: &mut Tables, key: SessionKey, code: ErrorCode) {
-    const RETRY_AFTER_MS: u32 = 500;
+    const RETRY_AFTER_MS: u32 = 50;
     let retry_after_ms = (code == ErrorCode::Busy).then_some(RETRY_AFTER_MS);
     tables.actions.push(Action::Refuse { session: key, code, retry_after_ms });
     tables.sessions.remove(key);
--- a/crates/pool/src/traffic/tables.rs
+++ b/crates/pool/src/traffic/tables.rs
@@ -102,6 +102,11 @@
         in_time && set.primary == Some(key) && self.config.permit.holds(now_us)
     }
 
+    /// Whether this proxy had a permit to use primaries and has lost it.
+    pub fn has_lost_contact(&self, now_us: u64) -> bool {
+        self.config.permit.until_us() > 0 && !self.config.permit.holds(now_us)
+    }
+
     /// An idle connection of an instance, one that holds `values` if possible.
     pub fn idle_connection(
         &self,
