--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 
 use super::super::replica_set_state::KnownRecord;
-use super::permits;
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
 use super::super::{Change, Condition, PromotionRecord, PromotionState, StoreCall};
+use super::permits;
 
 /// Delay between the claims of two proxies, by their order, so that usually one claims.
 const TURN_US: u64 = 80_000;
@@ -45,7 +45,7 @@
 }
 
 /// Weight of a proxy for a replica set: FNV-1a over both names.
-fn weight(set: &Bytes, proxy: &Bytes) -> u64 {
+pub fn weight(set: &Bytes, proxy: &Bytes) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     set.iter()
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -5,17 +5,21 @@
 use super::super::{
     Change, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
 };
-use super::{heartbeats, records};
+use super::{claims, heartbeats, records};
+use bytes::Bytes;
 use std::sync::Arc;
 
 /// How long the store may hold a watch. Short enough that a silent connection is noticed within the
 /// time in which a configuration must be in force.
-const WATCH_WAIT_MS: u32 = 3_000;
-/// How long the store may hold a watch of a large fleet, where the first proxy whose watch ends tells
-/// the others of a newer version.
-const LARGE_WATCH_WAIT_MS: u32 = 6_000;
-/// Smallest fleet that counts as large.
-const LARGE_FLEET: usize = 11;
+const WATCH_WAIT_MS: u64 = 3_000;
+/// The same for each proxy of a large fleet. The proxies' watches end at different times, and the
+/// first one that ends tells the others of a newer version.
+const WATCH_WAIT_MS_PER_PROXY: u64 = 600;
+/// Longest time for which the store may hold a watch.
+const WATCH_WAIT_MAX_MS: u64 = 20_000;
+/// Delay of the next watch after changes that concern other proxies only. When a fleet starts, every
+/// proxy's record would otherwise end the watch of every other one.
+const MEMBERS_DELAY_US: u64 = 300_000;
 /// Time beyond the wait after which a watch is given up.
 const WATCH_SLACK_US: u64 = 400_000;
 /// Time after which a page is given up.
@@ -44,8 +48,7 @@
         // The next page is asked for as soon as one arrives; this is a page that failed.
         MirrorStage::Listing { .. } => tables.mirror.stage = MirrorStage::Idle,
         MirrorStage::Watching { after_revision } => {
-            let is_large = tables.fleet_size(now_us) >= LARGE_FLEET;
-            let wait_ms = if is_large { LARGE_WATCH_WAIT_MS } else { WATCH_WAIT_MS };
+            let wait_ms = watch_wait_ms(tables, now_us);
             let deadline_us = now_us + u64::from(wait_ms) * 1000 + WATCH_SLACK_US;
             let watch = StoreCall::Watch { after_revision, wait_ms };
             call(tables, watch, deadline_us);
@@ -53,6 +56,15 @@
     }
 }
 
+/// Wait of the next watch, between half and all of what the size of the fleet allows, by the name of
+/// the proxy.
+fn watch_wait_ms(tables: &Tables, now_us: u64) -> u32 {
+    let size = tables.fleet_size(now_us) as u64;
+    let longest_ms = (WATCH_WAIT_MS_PER_PROXY * size).clamp(WATCH_WAIT_MS, WATCH_WAIT_MAX_MS);
+    let spread_ms = claims::weight(&Bytes::new(), &tables.config.name) % (longest_ms / 2);
+    u32::try_from(longest_ms - spread_ms).unwrap_or(u32::MAX)
+}
+
 /// Reads everything beside the watch if another proxy has a newer configuration, or knows of a claim
 /// that this one has not seen: the watch may be silent.
 fn read_missed_version(tables: &mut Tables, now_us: u64) {
@@ -111,10 +123,15 @@
         }
         StoreOutcome::Changes { items, as_of } => {
             tables.mirror.failures = 0;
+            let is_members_only = !items.is_empty()
+                && items.iter().all(|item| matches!(item.key, StoreKey::Member(_)));
             for item in items {
                 apply(tables, item, now_us);
             }
             tables.mirror.stage = MirrorStage::Watching { after_revision: as_of };
+            if is_members_only {
+                tables.mirror.next_us = now_us + MEMBERS_DELAY_US;
+            }
             run(tables, now_us);
         }
         StoreOutcome::HistoryLost => {
@@ -131,9 +148,10 @@
 /// Whether an answer belongs to the present stage, and not to a watch that was abandoned.
 fn is_expected(tables: &Tables, call: &StoreCall) -> bool {
     match (&tables.mirror.stage, call) {
-        (MirrorStage::Watching { after_revision }, StoreCall::Watch { after_revision: own, .. }) => {
-            after_revision == own
-        }
+        (
+            MirrorStage::Watching { after_revision },
+            StoreCall::Watch { after_revision: own, .. },
+        ) => after_revision == own,
         (MirrorStage::Listing { .. }, StoreCall::List { .. }) => true,
         _ => false,
     }
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -22,9 +22,10 @@
 pub fn run(tables: &mut Tables, now_us: u64) {
     intake::run(tables, now_us);
     expiry::run(tables, now_us);
-    upkeep::run(tables, now_us);
     group_calls::run(tables, now_us);
     placement::run(tables, now_us);
+    // After the placement, so that a probe takes no connection that a statement waits for.
+    upkeep::run(tables, now_us);
     quiescence::run(tables);
     isolation::run(tables, now_us);
     shutdown::run(tables, now_us);
--- a/crates/pool/src/traffic/systems/isolation.rs
+++ b/crates/pool/src/traffic/systems/isolation.rs
@@ -4,9 +4,9 @@
 //! keep their sessions, and every statement would be refused until the cut heals. A caller whose
 //! session is closed between two operations reconnects, through the balancer, to another proxy.
 
+use super::super::Action;
 use super::super::session::{Session, Transaction};
 use super::super::tables::Tables;
-use super::super::Action;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     if !tables.has_lost_contact(now_us) {
@@ -19,7 +19,5 @@
 }
 
 fn is_idle(session: &Session) -> bool {
-    session.is_accepted
-        && session.request.is_none()
-        && session.transaction == Transaction::None
+    session.is_accepted && session.request.is_none() && session.transaction == Transaction::None
 }
