--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -17,9 +17,9 @@
 const WATCH_WAIT_MS_PER_PROXY: u64 = 600;
 /// Longest time for which the store may hold a watch.
 const WATCH_WAIT_MAX_MS: u64 = 20_000;
-/// Delay of the next watch after changes that concern other proxies only. When a fleet starts, every
-/// proxy's record would otherwise end the watch of every other one.
-const MEMBERS_DELAY_US: u64 = 300_000;
+/// Delay of the next watch after changes that are not urgent. When a fleet starts, every record of a
+/// proxy or an instance would otherwise end the watch of every proxy.
+const BATCH_US: u64 = 300_000;
 /// Time beyond the wait after which a watch is given up.
 const WATCH_SLACK_US: u64 = 400_000;
 /// Time after which a page is given up.
@@ -123,14 +123,16 @@
         }
         StoreOutcome::Changes { items, as_of } => {
             tables.mirror.failures = 0;
-            let is_members_only = !items.is_empty()
-                && items.iter().all(|item| matches!(item.key, StoreKey::Member(_)));
+            let is_patient = !items.is_empty()
+                && items
+                    .iter()
+                    .all(|item| matches!(item.key, StoreKey::Member(_) | StoreKey::Instance(_)));
             for item in items {
                 apply(tables, item, now_us);
             }
             tables.mirror.stage = MirrorStage::Watching { after_revision: as_of };
-            if is_members_only {
-                tables.mirror.next_us = now_us + MEMBERS_DELAY_US;
+            if is_patient {
+                tables.mirror.next_us = now_us + BATCH_US;
             }
             run(tables, now_us);
         }
--- a/crates/pool/src/control/systems/permits.rs
+++ b/crates/pool/src/control/systems/permits.rs
@@ -7,7 +7,7 @@
 /// proxies that do not answer it.
 pub const PERMIT_US: u64 = 1_300_000;
 /// Remaining time of the permit below which the store is read instead.
-const LOW_US: u64 = 700_000;
+const LOW_US: u64 = 300_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     if !tables.mirror.is_complete {
