Refuse at once while a lost primary will not be back in time, and let only a majority extend permits

A lost primary is now a state of its own with an expected return, and a claimant passes over a proxy that none of those that have stopped has heard for as long as a permit holds.

--- a/crates/pool/src/control.rs
+++ b/crates/pool/src/control.rs
@@ -33,7 +33,7 @@
 pub use event::Event;
 pub use machine::Control;
 pub use member_record::MemberRecord;
-pub use peer_message::{Heartbeat, PeerMessage, SetReport};
+pub use peer_message::{Heartbeat, PeerMessage, SetReport, Silence};
 pub use promotion_record::{PromotionRecord, PromotionState};
 pub use store_call::{Condition, PromotionOutcome, StoreAnswer, StoreCall, StoreOutcome};
 pub use store_item::{StoreContent, StoreItem, StoreKey};
--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -28,9 +28,20 @@
         fence: u64,
         /// Last position that the sender saw at the old primary, as term and number.
         position: Option<flamingorock_core::Position>,
+        /// Proxies that the sender is not in contact with.
+        silences: Vec<Silence>,
     },
 }
 
+/// A proxy that another one does not hear.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Silence {
+    /// The proxy that is silent.
+    pub proxy: Bytes,
+    /// Time since it was last heard.
+    pub silent_ms: u32,
+}
+
 /// Sign of life of a proxy.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -1,5 +1,7 @@
 //! Claims the replacement of a primary.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 
 use super::super::replica_set_state::KnownRecord;
@@ -82,6 +84,7 @@
         term,
         former: set.primary().map(|(instance, _)| instance.clone()),
         stopped: Vec::new(),
+        heard_us: BTreeMap::new(),
         last_position: set.last_position,
         statuses: Vec::new(),
         next_us: now_us,
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -83,6 +83,10 @@
     if heartbeat.sequence <= member.heard_sequence {
         return;
     }
+    if member.heard_us == 0 {
+        // A proxy that has just started gets its permit with the first answers.
+        member.answer_due_us = Some(now_us);
+    }
     member.heard_us = now_us;
     member.heard_sequence = heartbeat.sequence;
     member.confirm(heartbeat.echo);
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -2,6 +2,7 @@
 
 use super::super::tables::Tables;
 use super::super::{Event, PeerMessage, StoreAnswer, StoreCall};
+use super::takeovers::Stop;
 use super::{detection, heartbeats, mirror, records, registration, search, shutdown, takeovers};
 use crate::traffic::Report;
 use crate::{GroupAnswer, GroupOutcome};
@@ -45,10 +46,11 @@
         PeerMessage::Heartbeat(heartbeat) => heartbeats::receive(tables, heartbeat, now_us),
         PeerMessage::Record { replica_set, record } => {
             records::apply(tables, &replica_set, record, 0, "another proxy", now_us);
-            records::answer_claim(tables, &replica_set);
+            records::answer_claim(tables, &replica_set, now_us);
         }
-        PeerMessage::Stopped { from, replica_set, fence, position } => {
-            takeovers::stopped(tables, from, &replica_set, fence, position);
+        PeerMessage::Stopped { from, replica_set, fence, position, silences } => {
+            let stop = Stop { from, position, silences };
+            takeovers::stopped(tables, stop, &replica_set, fence, now_us);
         }
     }
 }
@@ -62,7 +64,7 @@
             detection::lost(tables, &replica_set, &instance, since_us);
         }
         Report::PrimaryQuiet { replica_set, term, position } => {
-            records::quiet(tables, &replica_set, term, position);
+            records::quiet(tables, &replica_set, term, position, now_us);
         }
         Report::NotPrimary { replica_set, instance } => {
             search::refused(tables, &replica_set, &instance, now_us);
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -29,7 +29,7 @@
 /// Largest delay after a failed call.
 const BACKOFF_MAX_US: u64 = 400_000;
 /// Silence after which the store counts as lost.
-const LOST_US: u64 = 4_000_000;
+const LOST_US: u64 = 2_000_000;
 /// Time for the watch to bring a version that another proxy has reported.
 const VERSION_US: u64 = 300_000;
 
@@ -119,7 +119,7 @@
     tables.mirror.is_calling = false;
     match answer.outcome {
         StoreOutcome::Page { items, as_of, next } => {
-            page(tables, items, as_of, next, answer.sent_us, now_us);
+            page(tables, items, as_of, next, now_us);
         }
         StoreOutcome::Changes { items, as_of } => {
             tables.mirror.failures = 0;
@@ -173,7 +173,6 @@
     items: Vec<StoreItem>,
     as_of: u64,
     next: Option<bytes::Bytes>,
-    sent_us: u64,
     now_us: u64,
 ) {
     let MirrorStage::Listing { as_of: first } = tables.mirror.stage else { return };
@@ -189,7 +188,6 @@
     }
     note_missing(tables, now_us);
     tables.mirror.is_complete = true;
-    tables.mirror.evidence_us = tables.mirror.evidence_us.max(sent_us);
     tables.mirror.stage = MirrorStage::Watching { after_revision: first };
     run(tables, now_us);
 }
@@ -228,7 +226,7 @@
         }
         (StoreKey::Promotion(set), StoreContent::Promotion(record)) => {
             records::apply(tables, &set, record, item.revision, "the store", now_us);
-            records::answer_claim(tables, &set);
+            records::answer_claim(tables, &set, now_us);
         }
         (StoreKey::Member(name), StoreContent::Removed) => heartbeats::unlist(tables, &name),
         (StoreKey::Instance(id), StoreContent::Removed) => miss_instance(tables, &id, now_us),
--- a/crates/pool/src/control/systems/permits.rs
+++ b/crates/pool/src/control/systems/permits.rs
@@ -1,13 +1,11 @@
 //! Extends the permit to serve from primaries.
 
 use super::super::Change;
-use super::super::tables::{MirrorStage, Tables};
+use super::super::tables::Tables;
 
 /// How long the permit holds after evidence that no claim was missed. A claimant waits as long for
 /// proxies that do not answer it.
 pub const PERMIT_US: u64 = 1_300_000;
-/// Remaining time of the permit below which the store is read instead.
-const LOW_US: u64 = 300_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     if !tables.mirror.is_complete {
@@ -16,8 +14,6 @@
     if let Some(confirmed_us) = majority_confirmed_us(tables, now_us) {
         tables.config.permit.extend(confirmed_us + PERMIT_US);
     }
-    tables.config.permit.extend(tables.mirror.evidence_us + PERMIT_US);
-    read_store_if_low(tables, now_us);
     note_change(tables, now_us);
 }
 
@@ -39,17 +35,6 @@
     confirmed.get(majority).copied().filter(|confirmed_us| *confirmed_us > 0)
 }
 
-/// Without a majority a fresh reading of the store shows that there is no claim.
-fn read_store_if_low(tables: &mut Tables, now_us: u64) {
-    let is_low = tables.config.permit.until_us() < now_us + LOW_US;
-    let is_watching = matches!(tables.mirror.stage, MirrorStage::Watching { .. });
-    if is_low && is_watching {
-        // The answer of the abandoned watch is ignored when it comes.
-        tables.mirror.stage = MirrorStage::Idle;
-        tables.mirror.is_calling = false;
-    }
-}
-
 fn note_change(tables: &mut Tables, now_us: u64) {
     let holds = tables.config.permit.holds(now_us);
     if holds == tables.had_permit {
--- a/crates/pool/src/control/systems/publishing.rs
+++ b/crates/pool/src/control/systems/publishing.rs
@@ -12,6 +12,11 @@
 
 /// Time that open transactions at a working primary have to end before it is replaced.
 const ENDING_US: u64 = 500_000;
+/// Silence of the store after which no claim is expected to succeed at once. Renewals of the lease
+/// are answered more often.
+const STORE_SILENT_US: u64 = 1_500_000;
+/// Steps of the time at which a lost primary is expected to be replaced.
+const STEP_US: u64 = 100_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     set_ready(tables, now_us);
@@ -57,39 +62,60 @@
             is_leaving: row.entry.is_leaving,
         })
         .collect();
-    let is_elsewhere = detection::is_elsewhere(tables, name, now_us);
-    ReplicaSetView {
-        name: name.clone(),
-        instances,
-        primary: compose_primary(set, is_elsewhere, now_us),
+    let primary = match set.is_held() {
+        true => compose_held(set, now_us),
+        false => compose_primary(tables, name, set, now_us),
+    };
+    ReplicaSetView { name: name.clone(), instances, primary }
+}
+
+/// A primary that is being replaced.
+fn compose_held(set: &ReplicaSetState, now_us: u64) -> PrimaryView {
+    let (seen_us, is_planned) = match set.claim() {
+        Some(claim) => {
+            let is_planned =
+                matches!(claim.record.state, PromotionState::Claimed { is_planned: true, .. });
+            (claim.seen_us, is_planned && !set.has_unseen_claim())
+        }
+        None => (now_us, false),
+    };
+    PrimaryView::Held {
+        instance: set.primary().map(|(instance, _)| instance.clone()),
+        term: set.term(),
+        lets_end: is_planned && now_us < seen_us + ENDING_US,
+        expected_us: (seen_us + set.takeover_us).max(now_us),
     }
 }
 
-fn compose_primary(set: &ReplicaSetState, is_elsewhere: bool, now_us: u64) -> PrimaryView {
-    let primary = set.primary().map(|(instance, term)| (instance.clone(), term));
-    if set.is_held() {
-        let (seen_us, is_planned) = match set.claim() {
-            Some(claim) => {
-                let is_planned =
-                    matches!(claim.record.state, PromotionState::Claimed { is_planned: true, .. });
-                (claim.seen_us, is_planned && !set.has_unseen_claim())
-            }
-            None => (now_us, false),
-        };
-        return PrimaryView::Held {
-            instance: primary.map(|(instance, _)| instance),
-            term: set.term(),
-            lets_end: is_planned && now_us < seen_us + ENDING_US,
-            expected_us: (seen_us + set.takeover_us).max(now_us),
-        };
+fn compose_primary(
+    tables: &Tables,
+    name: &Bytes,
+    set: &ReplicaSetState,
+    now_us: u64,
+) -> PrimaryView {
+    let Some((instance, term)) = set.primary() else { return PrimaryView::Unknown };
+    let instance = instance.clone();
+    if detection::is_elsewhere(tables, name, now_us) {
+        return PrimaryView::Elsewhere { instance, term };
     }
-    match primary {
-        None => PrimaryView::Unknown,
-        Some((instance, term)) if is_elsewhere => PrimaryView::Elsewhere { instance, term },
-        Some((instance, term)) => PrimaryView::Serving { instance, term },
+    match set.lost_since_us {
+        None => PrimaryView::Serving { instance, term },
+        Some(since_us) => {
+            let expected_us = expected_us(tables, set, since_us, now_us);
+            PrimaryView::Lost { instance, term, expected_us }
+        }
     }
 }
 
+/// When a lost primary is replaced, in steps so that the view does not change with each tick. A
+/// claim needs the store.
+fn expected_us(tables: &Tables, set: &ReplicaSetState, since_us: u64, now_us: u64) -> u64 {
+    let is_store_silent = now_us > tables.mirror.heard_us + STORE_SILENT_US;
+    let begin_us = if is_store_silent { now_us } else { since_us };
+    let begin_us = begin_us.max(now_us.saturating_sub(set.takeover_us / 2));
+    begin_us.div_ceil(STEP_US) * STEP_US + set.takeover_us
+}
+
 impl Tables {
     /// Publishes a view that differs from the last one.
     fn publish(&mut self, view: PoolView) {
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -6,7 +6,7 @@
 use super::super::belief::Belief;
 use super::super::replica_set_state::{KnownRecord, ReplicaSetState};
 use super::super::tables::{Tables, text};
-use super::super::{Action, Change, PeerMessage, PromotionRecord, PromotionState};
+use super::super::{Action, Change, PeerMessage, PromotionRecord, PromotionState, Silence};
 
 /// Applies a record that is newer than the known one.
 pub fn apply(
@@ -59,7 +59,13 @@
 }
 
 /// The traffic thread uses a held primary no longer.
-pub fn quiet(tables: &mut Tables, name: &Bytes, term: Term, position: Option<Position>) {
+pub fn quiet(
+    tables: &mut Tables,
+    name: &Bytes,
+    term: Term,
+    position: Option<Position>,
+    now_us: u64,
+) {
     let Some(set) = tables.sets.get_mut(name) else { return };
     if term != set.term() {
         return;
@@ -74,11 +80,25 @@
     if let Some(takeover) = &mut set.takeover {
         takeover.last_position = takeover.last_position.max(position);
     }
-    answer_claim(tables, name);
+    answer_claim(tables, name, now_us);
+}
+
+/// Proxies that this one is not in contact with.
+fn silences(tables: &Tables, now_us: u64) -> Vec<Silence> {
+    tables
+        .members
+        .iter()
+        .filter(|(_, member)| !member.is_in_contact(now_us))
+        .map(|(proxy, member)| {
+            let silent_ms = now_us.saturating_sub(member.heard_us) / 1000;
+            let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
+            Silence { proxy: proxy.clone(), silent_ms }
+        })
+        .collect()
 }
 
 /// Tells the holder of a claim that this proxy has stopped, if it has.
-pub fn answer_claim(tables: &mut Tables, name: &Bytes) {
+pub fn answer_claim(tables: &mut Tables, name: &Bytes, now_us: u64) {
     let Some(set) = tables.sets.get(name) else { return };
     let Some(claim) = set.claim() else { return };
     if set.quiet_term != Some(set.term()) || claim.record.holder == tables.config.name {
@@ -90,6 +110,7 @@
         replica_set: name.clone(),
         fence: claim.record.fence,
         position: set.last_position,
+        silences: silences(tables, now_us),
     };
     tables.actions.push(Action::Send { address: holder.address, message });
 }
--- a/crates/pool/src/control/systems/registration.rs
+++ b/crates/pool/src/control/systems/registration.rs
@@ -3,10 +3,11 @@
 use super::super::tables::Tables;
 use super::super::{MemberRecord, StoreAnswer, StoreCall, StoreOutcome};
 
-/// Time after which a record disappears that is not renewed.
-const TTL_MS: u64 = 4_000;
+/// Time after which a record disappears that is not renewed. Proxies that have lost power count as
+/// part of the fleet until then, and a majority of it is needed to use primaries.
+const TTL_MS: u64 = 2_500;
 /// Interval of renewals.
-const KEEP_US: u64 = 1_300_000;
+const KEEP_US: u64 = 800_000;
 /// Time after which a call is given up.
 const TIMEOUT_US: u64 = 700_000;
 /// Delay after a failed call.
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -8,7 +8,7 @@
 use super::super::takeover::{Stage, Takeover};
 use super::super::{
     Action, Change, Condition, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
-    StoreAnswer, StoreCall, StoreContent, StoreItem, StoreOutcome,
+    Silence, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreOutcome,
 };
 use super::{claims, permits, records};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
@@ -172,7 +172,7 @@
     }
     drop_claim(tables, name, "another record is in the store");
     records::apply(tables, name, record, revision, "the store", now_us);
-    records::answer_claim(tables, name);
+    records::answer_claim(tables, name, now_us);
 }
 
 /// The store has not answered: what was written is read back, until the claim is too old.
@@ -204,32 +204,45 @@
     }
 }
 
+/// Another proxy's word that it has stopped using the old primary.
+pub struct Stop {
+    pub from: Bytes,
+    pub position: Option<Position>,
+    pub silences: Vec<Silence>,
+}
+
 /// Another proxy has stopped using the old primary.
-pub fn stopped(
-    tables: &mut Tables,
-    from: Bytes,
-    name: &Bytes,
-    fence: u64,
-    position: Option<Position>,
-) {
+pub fn stopped(tables: &mut Tables, stop: Stop, name: &Bytes, fence: u64, now_us: u64) {
+    let others: Vec<Bytes> = tables.members.keys().cloned().collect();
     let is_news = with(tables, name, |_, takeover| {
-        let is_news = takeover.fence == fence && !takeover.stopped.contains(&from);
+        let is_news = takeover.fence == fence && !takeover.stopped.contains(&stop.from);
         if is_news {
-            takeover.stopped.push(from.clone());
-            takeover.last_position = takeover.last_position.max(position);
+            takeover.stopped.push(stop.from.clone());
+            takeover.last_position = takeover.last_position.max(stop.position);
             takeover.next_us = 0;
+            note_heard(takeover, others, &stop, now_us);
         }
         is_news
     });
     if is_news == Some(true) {
         tables.changes.push(Change::Stopped {
             replica_set: text(name),
-            proxy: text(&from),
-            position: format!("{position:?}"),
+            proxy: text(&stop.from),
+            position: format!("{:?}", stop.position),
         });
     }
 }
 
+/// Notes when the sender last heard each proxy. One that it does not name is in contact with it.
+fn note_heard(takeover: &mut Takeover, others: Vec<Bytes>, stop: &Stop, now_us: u64) {
+    for proxy in others {
+        let silence = stop.silences.iter().find(|silence| silence.proxy == proxy);
+        let silent_us = silence.map_or(0, |silence| u64::from(silence.silent_ms) * 1000);
+        let heard_us = takeover.heard_us.entry(proxy).or_default();
+        *heard_us = (*heard_us).max(now_us.saturating_sub(silent_us));
+    }
+}
+
 /// A candidate or the promoted instance has reported its state.
 pub fn status(tables: &mut Tables, call: &GroupCall, status: InstanceStatus, now_us: u64) {
     with(tables, &call.replica_set, |_, takeover| {
@@ -274,9 +287,19 @@
 fn have_all_stopped(tables: &Tables, name: &Bytes, takeover: &Takeover, now_us: u64) -> bool {
     let Some(set) = tables.sets.get(name) else { return false };
     let own = set.quiet_term == Some(set.term()) || takeover.former.is_none();
-    let expired = now_us > takeover.claimed_us + permits::PERMIT_US + MARGIN_US;
-    own && (expired
-        || tables.present_members(now_us).all(|(member, _)| takeover.stopped.contains(member)))
+    let present = tables.fleet_size(now_us);
+    let has_majority = takeover.stopped.len() + 1 > present / 2;
+    own && tables.present_members(now_us).all(|(proxy, member)| {
+        takeover.stopped.contains(proxy)
+            || (has_majority && has_no_permit(takeover, proxy, member.heard_us, now_us))
+    })
+}
+
+/// Whether a silent proxy's permit has expired. It needs a majority that hears it, and so at least
+/// one of the proxies that have stopped; none of them has heard it for as long as a permit holds.
+fn has_no_permit(takeover: &Takeover, proxy: &Bytes, heard_us: u64, now_us: u64) -> bool {
+    let heard_us = takeover.heard_us.get(proxy).copied().unwrap_or_default().max(heard_us);
+    now_us > heard_us + permits::PERMIT_US + MARGIN_US
 }
 
 fn ask_candidates(tables: &mut Tables, name: &Bytes, takeover: &Takeover, now_us: u64) {
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -38,8 +38,6 @@
     pub is_lost: bool,
     /// Since when another proxy is known to have something newer.
     pub behind_since_us: Option<u64>,
-    /// Send time of the last answered call, as evidence that no claim was missed.
-    pub evidence_us: u64,
 }
 
 /// Registration of this proxy.
@@ -103,7 +101,6 @@
                 contact_since_us: now_us,
                 is_lost: false,
                 behind_since_us: None,
-                evidence_us: 0,
             },
             registration: Registration::default(),
             members: BTreeMap::new(),
--- a/crates/pool/src/control/takeover.rs
+++ b/crates/pool/src/control/takeover.rs
@@ -1,5 +1,7 @@
 //! Replacements of primaries that this proxy carries out.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use flamingorock_core::{Position, Term};
 
@@ -38,6 +40,8 @@
     pub former: Option<Bytes>,
     /// Proxies that have stopped using the old primary.
     pub stopped: Vec<Bytes>,
+    /// When each proxy was last heard by one of those that have stopped.
+    pub heard_us: BTreeMap<Bytes, u64>,
     /// Last position that any of them saw there.
     pub last_position: Option<Position>,
     /// Reports of the candidates.
--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -15,6 +15,8 @@
     Serving,
     /// Others reach it, this proxy does not.
     Elsewhere,
+    /// No proxy reaches it.
+    Lost { expected_us: u64 },
     /// It is being replaced.
     Held { lets_end: bool, expected_us: u64 },
 }
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -151,6 +151,9 @@
         PrimaryView::Elsewhere { instance, term } => {
             (Some(instance), *term, PrimaryState::Elsewhere)
         }
+        PrimaryView::Lost { instance, term, expected_us } => {
+            (Some(instance), *term, PrimaryState::Lost { expected_us: *expected_us })
+        }
         PrimaryView::Held { instance, term, lets_end, expected_us } => {
             let state = PrimaryState::Held { lets_end: *lets_end, expected_us: *expected_us };
             (instance.as_ref(), *term, state)
@@ -170,7 +173,7 @@
     set.primary = primary;
     set.term = term;
     set.state = state;
-    if let PrimaryState::Held { expected_us, .. } = state {
+    if let PrimaryState::Held { expected_us, .. } | PrimaryState::Lost { expected_us } = state {
         tables.due.add(expected_us, Due::Systems);
     }
     let is_cleared = matches!(state, PrimaryState::Held { lets_end: false, .. });
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -147,13 +147,9 @@
                 reason: "this proxy cannot reach the primary; others can",
             };
         }
-        PrimaryState::Held { expected_us, .. } if request.deadline_us < expected_us => {
-            return Place::Refuse {
-                retry_after_ms: milliseconds(expected_us.saturating_sub(now_us)),
-                reason: "the primary is being replaced and will not be back in time",
-            };
+        PrimaryState::Held { expected_us, .. } | PrimaryState::Lost { expected_us } => {
+            return await_primary(request, expected_us, now_us);
         }
-        PrimaryState::Held { .. } => return Place::Wait,
         PrimaryState::Serving => {}
     }
     if !tables.config.permit.holds(now_us) {
@@ -169,6 +165,17 @@
     at_instance(tables, key, session, request, now_us)
 }
 
+/// Waits for the next primary, unless the request's time ends before.
+fn await_primary(request: &Request, expected_us: u64, now_us: u64) -> Place {
+    if expected_us <= request.deadline_us {
+        return Place::Wait;
+    }
+    Place::Refuse {
+        retry_after_ms: milliseconds(expected_us.saturating_sub(now_us)),
+        reason: "the primary is away and no other one will serve in time",
+    }
+}
+
 fn milliseconds(span_us: u64) -> u32 {
     u32::try_from(span_us.div_ceil(1000)).unwrap_or(u32::MAX)
 }
--- a/crates/pool/src/traffic/tables.rs
+++ b/crates/pool/src/traffic/tables.rs
@@ -95,7 +95,8 @@
         let Some(instance) = self.instances.get(key) else { return false };
         let Some(set) = self.replica_sets.get(instance.replica_set) else { return false };
         let in_time = match set.state {
-            PrimaryState::Serving => true,
+            // An answer that was on its way is as good as before.
+            PrimaryState::Serving | PrimaryState::Lost { .. } => true,
             PrimaryState::Held { lets_end, .. } => lets_end,
             PrimaryState::Unknown | PrimaryState::Elsewhere => false,
         };
--- a/crates/pool/src/view.rs
+++ b/crates/pool/src/view.rs
@@ -69,6 +69,15 @@
         /// Its term.
         term: Term,
     },
+    /// An instance leads that no proxy reaches: nothing new is sent there.
+    Lost {
+        /// The instance.
+        instance: Bytes,
+        /// Its term.
+        term: Term,
+        /// When the next primary is expected to serve.
+        expected_us: u64,
+    },
     /// The primary is being replaced: nothing new is sent there.
     Held {
         /// The primary that is replaced, if any. Its open transactions may end if `lets_end`.
