Count proxies that are cut off for the majority of the fleet

The leases of the four ran out, the fifth was a majority of one, replaced the primary, and the four went on using the old one as a majority of five. Proxies that have vanished now count for 20 s if they are more than half of the fleet, and for 3 s otherwise, when they cannot be a majority. Ruled out: the permit's time, which ran out where it should.

--- a/crates/pool/src/control/member.rs
+++ b/crates/pool/src/control/member.rs
@@ -14,6 +14,8 @@
     pub incarnation: u64,
     /// Whether its record is in the store.
     pub is_listed: bool,
+    /// When its record left the store, 0 if it has not.
+    pub unlisted_us: u64,
     /// Last heartbeat from it, 0 for none.
     pub heard_us: u64,
     /// Highest sequence heard from it.
@@ -39,6 +41,7 @@
             address,
             incarnation,
             is_listed: false,
+            unlisted_us: 0,
             heard_us: 0,
             heard_sequence: 0,
             sent: VecDeque::new(),
@@ -67,6 +70,11 @@
         self.heard_us > 0 && now_us < self.heard_us + Self::CONTACT_US
     }
 
+    /// Whether it counts as part of the running fleet.
+    pub fn is_present(&self, now_us: u64) -> bool {
+        self.is_listed || self.is_in_contact(now_us)
+    }
+
     /// What the member believes of a replica set's primary.
     pub fn report(&self, replica_set: &Bytes) -> Option<&SetReport> {
         self.reports.iter().find(|report| report.replica_set == *replica_set)
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -13,6 +13,11 @@
 const LARGE_INTERVAL_US: u64 = 400_000;
 /// Largest fleet that counts as small.
 const SMALL_FLEET: usize = 10;
+/// Time after which missing proxies no longer count for the majority. As half of the fleet or less
+/// they cannot use a primary by themselves.
+const MINORITY_KEPT_US: u64 = 3_000_000;
+/// The same if they are more than half: cut off from the store, they may go on as a majority.
+const MAJORITY_KEPT_US: u64 = 20_000_000;
 /// Time for the traffic thread to probe a primary before its belief is reported.
 const PROBE_US: u64 = 40_000;
 
@@ -43,12 +48,13 @@
 }
 
 /// A proxy's record has left the store.
-pub fn unlist(tables: &mut Tables, name: &Bytes) {
+pub fn unlist(tables: &mut Tables, name: &Bytes, now_us: u64) {
     if *name == tables.config.name {
         return registration::lost(tables);
     }
     if let Some(member) = tables.members.get_mut(name) {
         member.is_listed = false;
+        member.unlisted_us = now_us;
         tables.is_changed = true;
     }
 }
@@ -171,12 +177,17 @@
     tables.sets.iter().map(report).collect()
 }
 
-/// Forgets proxies that are neither in the store nor in contact.
+/// Forgets proxies that are neither in the store nor in contact. They count for the majority until
+/// then.
 fn forget_gone(tables: &mut Tables, now_us: u64) {
+    let missing = tables.members.values().filter(|member| !member.is_present(now_us)).count();
+    let fleet = tables.members.len() + 1;
+    let kept_us = if missing * 2 <= fleet { MINORITY_KEPT_US } else { MAJORITY_KEPT_US };
     let before = tables.members.len();
     let changes = &mut tables.changes;
     tables.members.retain(|name, member| {
-        let is_kept = member.is_listed || member.is_in_contact(now_us);
+        let gone_us = member.unlisted_us.max(member.heard_us);
+        let is_kept = member.is_present(now_us) || now_us < gone_us + kept_us;
         if !is_kept {
             changes.push(Change::MemberLost { name: text(name) });
         }
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -228,7 +228,9 @@
             records::apply(tables, &set, record, item.revision, "the store", now_us);
             records::answer_claim(tables, &set, now_us);
         }
-        (StoreKey::Member(name), StoreContent::Removed) => heartbeats::unlist(tables, &name),
+        (StoreKey::Member(name), StoreContent::Removed) => {
+            heartbeats::unlist(tables, &name, now_us);
+        }
         (StoreKey::Instance(id), StoreContent::Removed) => miss_instance(tables, &id, now_us),
         (key, StoreContent::Unreadable { reason }) => {
             // An unreadable entry names no instance to use.
--- a/crates/pool/src/control/systems/permits.rs
+++ b/crates/pool/src/control/systems/permits.rs
@@ -28,7 +28,7 @@
 /// passes on the claims that it knows.
 fn majority_confirmed_us(tables: &Tables, now_us: u64) -> Option<u64> {
     let mut confirmed: Vec<u64> =
-        tables.present_members(now_us).map(|(_, member)| member.confirmed_us).collect();
+        tables.members.values().map(|member| member.confirmed_us).collect();
     confirmed.push(now_us);
     confirmed.sort_unstable_by(|a, b| b.cmp(a));
     let majority = confirmed.len() / 2;
@@ -41,7 +41,7 @@
         return;
     }
     tables.had_permit = holds;
-    let members = tables.fleet_size(now_us);
+    let members = tables.members.len() + 1;
     tables.changes.push(match holds {
         true => Change::PermitRegained { members },
         false => Change::PermitLost { members },
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -287,9 +287,9 @@
 fn have_all_stopped(tables: &Tables, name: &Bytes, takeover: &Takeover, now_us: u64) -> bool {
     let Some(set) = tables.sets.get(name) else { return false };
     let own = set.quiet_term == Some(set.term()) || takeover.former.is_none();
-    let present = tables.fleet_size(now_us);
-    let has_majority = takeover.stopped.len() + 1 > present / 2;
-    own && tables.present_members(now_us).all(|(proxy, member)| {
+    let fleet = tables.members.len() + 1;
+    let has_majority = takeover.stopped.len() + 1 > fleet / 2;
+    own && tables.members.iter().all(|(proxy, member)| {
         takeover.stopped.contains(proxy)
             || (has_majority && has_no_permit(takeover, proxy, member.heard_us, now_us))
     })
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -126,9 +126,7 @@
 
     /// Members that are in the store or in contact.
     pub fn present_members(&self, now_us: u64) -> impl Iterator<Item = (&Bytes, &Member)> {
-        self.members
-            .iter()
-            .filter(move |(_, member)| member.is_listed || member.is_in_contact(now_us))
+        self.members.iter().filter(move |(_, member)| member.is_present(now_us))
     }
 
     /// Proxies of the fleet, this one included.
