--- a/crates/daemon/src/pooled/control_thread.rs
+++ b/crates/daemon/src/pooled/control_thread.rs
@@ -241,7 +241,7 @@
         let event = match purpose {
             Purpose::Store { call, sent_us } => {
                 let outcome = decode_store_answer(&call, answer.as_ref());
-                Event::Store(StoreAnswer { call, sent_us, outcome })
+                Event::Store(Box::new(StoreAnswer { call, sent_us, outcome }))
             }
             Purpose::Promotion { replica_set, fence } => {
                 let outcome = decode_promotion(answer.as_ref());
--- a/crates/pool/src/control/event.rs
+++ b/crates/pool/src/control/event.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The store has answered a call.
-    Store(StoreAnswer),
+    Store(Box<StoreAnswer>),
     /// A promotion call has ended.
     Promotion {
         /// The replica set.
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -1,5 +1,6 @@
 //! Systems of the control machine, in the order in which a tick runs them.
 
+mod candidates;
 mod claims;
 mod detection;
 mod heartbeats;
@@ -12,6 +13,8 @@
 mod registration;
 mod search;
 mod shutdown;
+mod stops;
+mod takeover_store;
 mod takeovers;
 
 use super::tables::Tables;
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -62,11 +62,11 @@
 pub fn receive(tables: &mut Tables, heartbeat: Heartbeat, now_us: u64) {
     tables.reported_version = tables.reported_version.max(heartbeat.configuration_version);
     for report in &heartbeat.sets {
-        if let Some(set) = tables.sets.get_mut(&report.replica_set) {
-            if report.fence > set.fence() {
-                set.reported_fence = report.fence;
-                tables.is_changed = true;
-            }
+        if let Some(set) = tables.sets.get_mut(&report.replica_set)
+            && report.fence > set.fence()
+        {
+            set.reported_fence = report.fence;
+            tables.is_changed = true;
         }
     }
     let asks: Vec<Bytes> = heartbeat
--- a/crates/pool/src/control/systems/instances.rs
+++ b/crates/pool/src/control/systems/instances.rs
@@ -1,5 +1,7 @@
 //! Instances whose entries are missing from the store.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use super::super::Change;
@@ -65,7 +67,7 @@
 
 /// Forgets replica sets that neither the configuration nor an instance names.
 fn drop_empty(tables: &mut Tables) {
-    let configuration = tables.configuration.clone();
+    let configuration = Arc::clone(&tables.configuration);
     tables.sets.retain(|name, set| {
         !set.instances.is_empty()
             || set.record.is_some()
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -2,8 +2,11 @@
 
 use super::super::tables::Tables;
 use super::super::{Event, PeerMessage, StoreAnswer, StoreCall};
-use super::takeovers::Stop;
-use super::{detection, heartbeats, mirror, records, registration, search, shutdown, takeovers};
+use super::stops::{self, Stop};
+use super::{
+    detection, heartbeats, mirror, records, registration, search, shutdown, takeover_store,
+    takeovers,
+};
 use crate::traffic::Report;
 use crate::{GroupAnswer, GroupOutcome};
 
@@ -15,7 +18,7 @@
 
 fn apply(tables: &mut Tables, event: Event, now_us: u64) {
     match event {
-        Event::Store(answer) => apply_store(tables, answer, now_us),
+        Event::Store(answer) => apply_store(tables, *answer, now_us),
         Event::Promotion { replica_set, fence, outcome } => {
             takeovers::promotion_answered(tables, &replica_set, fence, outcome, now_us);
         }
@@ -36,7 +39,7 @@
         | StoreCall::EndLease { .. }
         | StoreCall::WriteMember { .. } => registration::answered(tables, answer, now_us),
         StoreCall::ReadPromotion { .. } | StoreCall::WritePromotion { .. } => {
-            takeovers::store_answered(tables, answer, now_us);
+            takeover_store::answered(tables, answer, now_us);
         }
     }
 }
@@ -50,7 +53,7 @@
         }
         PeerMessage::Stopped { from, replica_set, fence, position, silences } => {
             let stop = Stop { from, position, silences };
-            takeovers::stopped(tables, stop, &replica_set, fence, now_us);
+            stops::stopped(tables, stop, &replica_set, fence, now_us);
         }
     }
 }
--- /dev/null
+++ b/crates/pool/src/control/systems/takeover_store.rs
@@ -0,0 +1,100 @@
+//! Calls of a replacement to the store.
+
+use bytes::Bytes;
+
+use super::super::tables::Tables;
+use super::super::takeover::Stage;
+use super::super::{
+    PromotionRecord, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreOutcome,
+};
+use super::records;
+use super::takeovers::{CLAIM_VALID_US, POLL_US, STORE_TIMEOUT_US, broadcast, drop_claim, with};
+
+/// Reads the record back after the answer to a claim was lost.
+pub fn read_back(tables: &mut Tables, name: &Bytes, now_us: u64) {
+    let is_new = with(tables, name, |_, takeover| {
+        takeover.next_us = now_us + POLL_US;
+        !core::mem::replace(&mut takeover.is_writing, true)
+    });
+    if is_new == Some(true) {
+        let call = StoreCall::ReadPromotion { replica_set: name.clone() };
+        tables.call_store(call, now_us + STORE_TIMEOUT_US);
+    }
+}
+
+/// Answers of the store to the calls of a replacement.
+pub fn answered(tables: &mut Tables, answer: StoreAnswer, now_us: u64) {
+    let (name, written) = match answer.call {
+        StoreCall::ReadPromotion { replica_set } => (replica_set, None),
+        StoreCall::WritePromotion { replica_set, record, .. } => (replica_set, Some(record)),
+        _ => return,
+    };
+    with(tables, &name, |_, takeover| takeover.is_writing = false);
+    match answer.outcome {
+        StoreOutcome::Written { revision } => {
+            if let Some(record) = written {
+                accept(tables, &name, record, revision, now_us);
+            }
+        }
+        StoreOutcome::Conflict { item } | StoreOutcome::Item(item) => {
+            found(tables, &name, item, now_us);
+        }
+        _ => unanswered(tables, &name, now_us),
+    }
+}
+
+/// A record of this proxy is in the store.
+fn accept(tables: &mut Tables, name: &Bytes, record: PromotionRecord, revision: u64, now_us: u64) {
+    let is_current = with(tables, name, |_, takeover| {
+        let is_current = takeover.fence == record.fence;
+        if is_current && record.is_claimed() {
+            takeover.revision = revision;
+            if matches!(takeover.stage, Stage::Claiming | Stage::Verifying) {
+                takeover.stage = Stage::Holding;
+                takeover.next_us = now_us;
+            }
+        }
+        is_current
+    });
+    records::apply(tables, name, record, revision, "own promotion", now_us);
+    if is_current == Some(true) {
+        broadcast(tables, name, &[]);
+    }
+}
+
+/// The store holds another record than expected, or the one that was asked for.
+fn found(tables: &mut Tables, name: &Bytes, item: Option<StoreItem>, now_us: u64) {
+    let Some(StoreItem { content: StoreContent::Promotion(record), revision, .. }) = item else {
+        return drop_claim(tables, name, "the store has no record");
+    };
+    let own = record.holder == tables.config.name
+        && record.holder_incarnation == tables.config.incarnation
+        && tables
+            .sets
+            .get(name)
+            .and_then(|set| set.takeover.as_ref())
+            .is_some_and(|takeover| takeover.fence == record.fence);
+    if own {
+        return accept(tables, name, record, revision, now_us);
+    }
+    drop_claim(tables, name, "another record is in the store");
+    records::apply(tables, name, record, revision, "the store", now_us);
+    records::answer_claim(tables, name, now_us);
+}
+
+/// The store has not answered: what was written is read back, until the claim is too old.
+fn unanswered(tables: &mut Tables, name: &Bytes, now_us: u64) {
+    let is_old = with(tables, name, |_, takeover| {
+        takeover.next_us = now_us + POLL_US;
+        match takeover.stage {
+            Stage::Claiming | Stage::Verifying => {
+                takeover.stage = Stage::Verifying;
+                now_us > takeover.claimed_us + CLAIM_VALID_US
+            }
+            _ => false,
+        }
+    });
+    if is_old == Some(true) {
+        drop_claim(tables, name, "the store does not answer");
+    }
+}
--- a/crates/pool/src/traffic/position_history.rs
+++ b/crates/pool/src/traffic/position_history.rs
@@ -19,10 +19,10 @@
 
     /// Adds a sample.
     pub fn record(&mut self, asked_us: u64, position: Position) {
-        if let Some((last_us, last)) = self.samples.back() {
-            if position < *last || asked_us < last_us + Self::SPACING_US {
-                return;
-            }
+        if let Some((last_us, last)) = self.samples.back()
+            && (position < *last || asked_us < last_us + Self::SPACING_US)
+        {
+            return;
         }
         if self.samples.len() == Self::CAPACITY {
             self.samples.pop_front();
--- a/crates/pool/src/traffic/session.rs
+++ b/crates/pool/src/traffic/session.rs
@@ -7,7 +7,7 @@
 
 use super::database::Database;
 use super::request::Request;
-use super::{PreparedId, Query};
+use super::{PreparedId, Query, Statement};
 use crate::ConnectionKey;
 
 /// The transaction of a session.
@@ -76,6 +76,22 @@
         }
     }
 
+    /// Whether the statement that is being served ends the transaction.
+    pub fn ends_transaction(&self) -> bool {
+        self.request.as_ref().is_some_and(|request| {
+            matches!(request.query.statement, Statement::Commit | Statement::Rollback)
+        })
+    }
+
+    /// Leaves a transaction that has been rolled back: it is over if the present statement ends it,
+    /// and failed otherwise. The caller is told with the answer to that statement.
+    pub fn leave_transaction(&mut self) {
+        if self.transaction != Transaction::None {
+            let ends = self.ends_transaction();
+            self.transaction = if ends { Transaction::None } else { Transaction::Failed };
+        }
+    }
+
     /// Number of a prepared statement by its name in this session.
     pub fn prepared_id(&self, name: &Bytes) -> Option<PreparedId> {
         self.prepared.iter().find(|(own, _)| own == name).map(|(_, id)| *id)
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod placement;
 mod quiescence;
+mod refusals;
 mod sending;
 mod sessions;
 mod shutdown;
--- a/crates/pool/src/traffic/systems/expiry.rs
+++ b/crates/pool/src/traffic/systems/expiry.rs
@@ -45,10 +45,10 @@
     if request.deadline_us <= now_us {
         return time_out(tables, key, now_us);
     }
-    if let Stage::Resending { connection } = request.stage {
-        if request.not_before_us <= now_us {
-            sending::send_statement(tables, key, connection, now_us);
-        }
+    if let Stage::Resending { connection } = request.stage
+        && request.not_before_us <= now_us
+    {
+        sending::send_statement(tables, key, connection, now_us);
     }
 }
 
--- a/crates/pool/src/traffic/systems/losses.rs
+++ b/crates/pool/src/traffic/systems/losses.rs
@@ -6,7 +6,7 @@
 use super::super::session::Transaction;
 use super::super::tables::Tables;
 use super::super::{Action, AnswerOutcome, DecisionKind, Report, Statement};
-use super::{answers, connections, ending, group_calls};
+use super::{connections, ending, group_calls, refusals};
 use crate::{ConnectionKey, ErrorCode, GroupOutcome, InstanceKey, SessionKey};
 use flamingorock_core::TransactionStatus;
 
@@ -102,7 +102,7 @@
             session.transaction = Transaction::Aborted;
             session.idle_deadline_us = None;
         }
-        Next::Retry => answers::retry(tables, key, Some(instance), reason, now_us),
+        Next::Retry => refusals::retry(tables, key, Some(instance), reason, now_us),
         Next::RolledBack => {
             session.transaction = Transaction::None;
             let answer = Answer {
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -2,11 +2,10 @@
 
 use flamingorock_core::Position;
 
-use super::super::Statement;
 use super::super::instance::Instance;
 use super::super::replica_set::{PrimaryState, ReplicaSet};
 use super::super::request::{Need, Request};
-use super::super::session::{Session, Transaction};
+use super::super::session::Session;
 use super::super::tables::{Due, Tables};
 use super::{connections, ending, sending};
 use crate::{ConnectionKey, ErrorCode, InstanceKey, ReplicaSetKey, SessionKey};
@@ -341,13 +340,7 @@
     now_us: u64,
 ) {
     if let Some(session) = tables.sessions.get_mut(key) {
-        if session.transaction != Transaction::None {
-            let ends = matches!(
-                session.request.as_ref().map(|request| &request.query.statement),
-                Some(Statement::Commit)
-            );
-            session.transaction = if ends { Transaction::None } else { Transaction::Failed };
-        }
+        session.leave_transaction();
     }
     ending::fail(tables, key, None, ErrorCode::Busy, reason, Some(retry_after_ms), now_us);
 }
--- a/crates/pool/src/traffic/systems/sending.rs
+++ b/crates/pool/src/traffic/systems/sending.rs
@@ -107,17 +107,15 @@
     }
     if let Some(Statement::Execute { name, .. }) =
         session.request.as_ref().map(|request| &request.query.statement)
+        && let Some(id) = session.prepared_id(name)
+        && (needs_reset || !connection.prepared.contains(&id))
     {
-        if let Some(id) = session.prepared_id(name) {
-            if needs_reset || !connection.prepared.contains(&id) {
-                let shape = tables.prepared.get(id);
-                commands.push(Command::Prepare {
-                    prepared: id,
-                    mode: shape.mode,
-                    shape: shape.shape.clone(),
-                });
-            }
-        }
+        let shape = tables.prepared.get(id);
+        commands.push(Command::Prepare {
+            prepared: id,
+            mode: shape.mode,
+            shape: shape.shape.clone(),
+        });
     }
     commands
 }
--- a/crates/pool/src/traffic/systems/sessions.rs
+++ b/crates/pool/src/traffic/systems/sessions.rs
@@ -274,10 +274,10 @@
         sent_us: 0,
     };
     let deadline_us = request.deadline_us;
-    if let Need::Fresh { .. } = need {
-        if let Some(set) = tables.replica_sets.get_mut(database.replica_set) {
-            set.stale_read_us = now_us;
-        }
+    if let Need::Fresh { .. } = need
+        && let Some(set) = tables.replica_sets.get_mut(database.replica_set)
+    {
+        set.stale_read_us = now_us;
     }
     let Some(session) = tables.sessions.get_mut(key) else { return };
     let pinned = session.pinned();
--- a/crates/pool/tests/fleet/world.rs
+++ b/crates/pool/tests/fleet/world.rs
@@ -303,12 +303,12 @@
             Due::Timeout { proxy, life, call, sent_us } if self.is_alive(proxy, life) => {
                 self.answer_store(proxy, life, call, sent_us, StoreOutcome::Unknown, 0);
             }
-            Due::ToInstance { proxy, life, connection, instance, command, sent_us } => {
-                if self.is_reachable(proxy, instance) {
-                    let work_us = if is_work(&command) { WORK_US } else { 0 };
-                    let due = Due::Run { proxy, life, connection, instance, command, sent_us };
-                    self.schedule(work_us, due);
-                }
+            Due::ToInstance { proxy, life, connection, instance, command, sent_us }
+                if self.is_reachable(proxy, instance) =>
+            {
+                let work_us = if is_work(&command) { WORK_US } else { 0 };
+                let due = Due::Run { proxy, life, connection, instance, command, sent_us };
+                self.schedule(work_us, due);
             }
             Due::Run { proxy, life, connection, instance, command, sent_us } => {
                 self.run_command(proxy, life, connection, instance, &command, sent_us);
@@ -503,7 +503,7 @@
             return;
         };
         calls.remove(found);
-        let event = Box::new(ControlEvent::Store(StoreAnswer { call, sent_us, outcome }));
+        let event = Box::new(ControlEvent::Store(Box::new(StoreAnswer { call, sent_us, outcome })));
         self.schedule(delay_us, Due::ToProxy { proxy: index, life, event });
     }
 
@@ -732,10 +732,10 @@
             .flat_map(|row| row.log.iter())
             .find(|commit| commit.id == id)
             .copied();
-        if let Some(commit) = commit {
-            if self.instances[self.leader].log.contains(&commit) {
-                self.acknowledged.push((self.now_us, commit));
-            }
+        if let Some(commit) = commit
+            && self.instances[self.leader].log.contains(&commit)
+        {
+            self.acknowledged.push((self.now_us, commit));
         }
     }
 
