--- /dev/null
+++ b/crates/daemon/tests/pooled/support.rs
@@ -0,0 +1,208 @@
+//! Real processes in the pooled mode against the platform's stand-ins.
+
+#![allow(dead_code, reason = "each test binary uses a part of the support")]
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use std::{fs, process, thread};
+
+use flamingorock_standin::free_port;
+use flamingorock_standin::jardinet::Platform;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Time for a process to do what it is expected to; generous, because machines are busy.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const READ_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// A running proxy.
+pub struct Proxy {
+    pub callers: SocketAddr,
+    pub metrics: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Proxy {
+    pub fn start(index: usize, platform: &Platform) -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let (callers, ready, metrics) =
+            (address(free_port()), address(free_port()), address(free_port()));
+        let peers = free_port();
+        let folder = std::env::temp_dir().join(format!("flamingorock-{}", process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let settings = folder.join(format!("node-{}.conf", callers.port()));
+        let text = format!(
+            "node-name=edge-{index}\nzone=port-louis\nip=127.0.0.1\n\
+             listen.frontend={callers}\nlisten.ready={ready}\nport-range={peers},{peers}\n\
+             platform.addr={}\ncloud-api.addr={}\ncontract-params.grace-s=6\nunknown.field=1\n",
+            platform.store_address(),
+            platform.promotion_address()
+        );
+        fs::write(&settings, text).expect("settings");
+        let log = settings.with_extension("log");
+        let mut proxy = Self { callers, metrics, ready, settings, log, child: None };
+        proxy.spawn();
+        proxy
+    }
+
+    /// Starts the process, again after a kill.
+    pub fn spawn(&mut self) {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_flamingorockd"))
+            .args(["--pooled", "--metrics-port", &self.metrics.port().to_string()])
+            .env("FLAMINGOROCK_BOOT", &self.settings)
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_child(child);
+        // A process that has ended already needs no signal.
+        let _ = kill_process(pid, signal);
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the end of the process and tells whether it succeeded.
+    pub fn wait(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else { return false };
+        child.wait().is_ok_and(|status| status.success())
+    }
+
+    pub fn is_ready(&self) -> bool {
+        get(self.ready, "/-/ready").is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("the proxy is ready", || self.is_ready());
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.signal(Signal::CONT);
+        self.kill();
+        let _ = fs::remove_file(&self.settings);
+        let _ = fs::remove_file(&self.log);
+    }
+}
+
+/// Waits for a condition.
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "timed out: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Asks over HTTP and returns the whole answer.
+pub fn get(address: SocketAddr, path: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, READ_TIMEOUT)?;
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
+/// An answer to a statement.
+#[derive(Debug, Eq, PartialEq)]
+pub struct Answer {
+    pub rows: Vec<String>,
+    /// `COMPLETE` or the error's word.
+    pub outcome: String,
+    pub state: String,
+}
+
+impl Answer {
+    pub fn is_complete(&self) -> bool {
+        self.outcome == "COMPLETE"
+    }
+}
+
+/// A caller's session.
+pub struct Caller {
+    stream: TcpStream,
+    lines: BufReader<TcpStream>,
+    next_id: u32,
+}
+
+impl Caller {
+    pub fn connect(address: SocketAddr, database: &str) -> io::Result<Self> {
+        let mut stream = TcpStream::connect_timeout(&address, READ_TIMEOUT)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        stream.set_nodelay(true)?;
+        stream.write_all(format!("STARTUP {database} test\r\n").as_bytes())?;
+        let mut lines = BufReader::new(stream.try_clone()?);
+        let mut line = String::new();
+        lines.read_line(&mut line)?;
+        if !line.starts_with("READY I") {
+            return Err(io::Error::other(line));
+        }
+        Ok(Self { stream, lines, next_id: 0 })
+    }
+
+    pub fn query(&mut self, text: &str) -> io::Result<Answer> {
+        self.next_id += 1;
+        self.stream.write_all(format!("QUERY q{} {text}\r\n", self.next_id).as_bytes())?;
+        let mut answer = Answer { rows: Vec::new(), outcome: String::new(), state: String::new() };
+        loop {
+            let mut line = String::new();
+            if self.lines.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let (word, rest) = line.trim_end().split_once(' ').unwrap_or((line.trim_end(), ""));
+            match word {
+                "DATAROW" => answer.rows.push(rest.to_owned()),
+                "COMPLETE" => answer.outcome = word.to_owned(),
+                "ERROR" => answer.outcome = rest.split(' ').next().unwrap_or_default().to_owned(),
+                "READY" => {
+                    answer.state = rest.split(' ').next().unwrap_or_default().to_owned();
+                    return Ok(answer);
+                }
+                _ => return Err(io::Error::other(line)),
+            }
+        }
+    }
+}
+
+/// Writes until it succeeds. Each attempt writes other data, so that one that took effect without an
+/// answer is told apart.
+pub fn write_until_served(address: SocketAddr, database: &str, item: &str) -> String {
+    let end = Instant::now() + PATIENCE;
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        let data = format!("{item}-{attempt}");
+        let outcome = Caller::connect(address, database)
+            .and_then(|mut caller| caller.query(&format!("WRITE {item} {data}")));
+        match outcome {
+            Ok(answer) if answer.is_complete() => return data,
+            _ => thread::sleep(Duration::from_millis(50)),
+        }
+        assert!(Instant::now() < end, "no write was served in time");
+    }
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -19,6 +19,8 @@
     /// Query parameters; a parameter without `=` has an empty value.
     pub(crate) query: BTreeMap<String, String>,
     pub(crate) body: Vec<u8>,
+    /// Value of the header that carries the fence of a promotion.
+    pub(crate) fence: Option<u64>,
     keep_alive: bool,
 }
 
@@ -50,6 +52,14 @@
         Self::Answer(Answer { status: 200, content_type: "application/json", index: None, body })
     }
 
+    pub(crate) fn json_with_status(status: u16, value: &serde_json::Value) -> Self {
+        let mut reply = Self::json(value);
+        if let Self::Answer(answer) = &mut reply {
+            answer.status = status;
+        }
+        reply
+    }
+
     pub(crate) fn with_index(mut self, index: u64) -> Self {
         if let Self::Answer(answer) = &mut self {
             answer.index = Some(index);
@@ -150,6 +160,7 @@
         path: decode(path),
         query: pairs.map(|(name, value)| (decode(name), decode(value))).collect(),
         body: Vec::new(),
+        fence: header("x-flamingorock-fencing-token").and_then(|value| value.parse().ok()),
         keep_alive: header("connection").is_none_or(|value| value != "close"),
     };
     Ok(Some((request, head_bytes, body_bytes)))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod database;
 mod host_list;
 mod http;
+pub mod jardinet;
 mod ports;
 mod server;
 mod store;
