--- a/crates/pool/src/traffic.rs
+++ b/crates/pool/src/traffic.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod answer;
+mod congestion;
 mod connection;
 mod database;
 mod due_queue;
--- a/crates/pool/src/traffic/instance.rs
+++ b/crates/pool/src/traffic/instance.rs
@@ -4,6 +4,7 @@
 use flamingorock_core::Position;
 use std::net::SocketAddr;
 
+use super::congestion::Congestion;
 use crate::{ConnectionKey, ReplicaSetKey};
 
 /// An instance.
@@ -32,8 +33,7 @@
     pub refusing_until_us: u64,
     /// Failed statements among the recent ones, smoothed, in thousandths.
     pub failure_permille: u32,
-    /// Smoothed time of an answer.
-    pub answer_us: u64,
+    pub congestion: Congestion,
     /// Last report of a sign of life.
     pub reported_us: u64,
 }
@@ -42,11 +42,6 @@
     /// Weight of a new observation is one part in this many.
     const SMOOTHING: u64 = 8;
 
-    /// Records the answer time of a statement.
-    pub fn record_answer(&mut self, took_us: u64) {
-        self.answer_us = (self.answer_us * (Self::SMOOTHING - 1) + took_us) / Self::SMOOTHING;
-    }
-
     /// Records whether a statement failed at the instance.
     pub fn record_failure(&mut self, failed: bool) {
         let observed = if failed { 1000 } else { 0 };
--- a/crates/pool/src/traffic/systems/answers.rs
+++ b/crates/pool/src/traffic/systems/answers.rs
@@ -107,7 +107,7 @@
     let Some(row) = tables.instances.get_mut(instance) else { return };
     match answer.outcome.error() {
         None => {
-            row.record_answer(now_us.saturating_sub(sent_us));
+            row.congestion.record(now_us.saturating_sub(sent_us), now_us);
             row.record_failure(false);
         }
         Some(ErrorCode::Failed | ErrorCode::Timeout) => row.record_failure(true),
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -6,6 +6,7 @@
 use flamingorock_core::Term;
 
 use super::super::PositionHistory;
+use super::super::congestion::Congestion;
 use super::super::database::Database;
 use super::super::instance::Instance;
 use super::super::replica_set::{PrimaryState, ReplicaSet};
@@ -16,9 +17,6 @@
     ErrorCode, InstanceKey, InstanceView, PoolView, PrimaryView, ReplicaSetKey, ReplicaSetView,
 };
 
-/// Answer time that is assumed of an instance that has not answered yet.
-const ASSUMED_ANSWER_US: u64 = 5_000;
-
 pub fn apply(tables: &mut Tables, view: Arc<PoolView>, now_us: u64) {
     if view.sequence < tables.view.sequence {
         return;
@@ -117,7 +115,7 @@
         connect_failures: 0,
         refusing_until_us: 0,
         failure_permille: 0,
-        answer_us: ASSUMED_ANSWER_US,
+        congestion: Congestion::default(),
         reported_us: 0,
     })
 }
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -14,6 +14,10 @@
 const STALENESS_MARGIN_US: u64 = 50_000;
 /// Wait after which a stale read that finds no replica free may use the primary.
 const SPILL_AFTER_US: u64 = 15_000;
+/// Rank from which work makes way at a congested primary.
+const YIELDING_RANK: u8 = 2;
+/// Time after which callers may try again whose work made way.
+const CONGESTED_RETRY_MS: u32 = 500;
 /// Silence of a replica during which its lag is taken to be as last seen.
 const UNHEARD_US: u64 = 150_000;
 /// Allowance for the spread of lags.
@@ -161,7 +165,40 @@
         };
     }
     let Some(key) = set.primary else { return Place::Wait };
-    at_instance(tables, key, session, request, now_us)
+    match yielding(tables, key, request, now_us) {
+        Yield::No => at_instance(tables, key, session, request, now_us),
+        Yield::Wait => Place::Wait,
+        Yield::Refuse => Place::Refuse {
+            retry_after_ms: CONGESTED_RETRY_MS,
+            reason: "the primary is congested with more urgent work",
+        },
+    }
+}
+
+/// Whether a request makes way for others at a congested primary.
+enum Yield {
+    No,
+    Wait,
+    Refuse,
+}
+
+/// Answers the load of a primary that must serve all reads because its replicas are far behind. It
+/// serves in the order of arrival, so that the least urgent work of one proxy would delay the urgent
+/// work of all others: such work waits a quarter of its target for the congestion to end and is
+/// refused then. Other work but the most urgent is refused once its target has passed, because what
+/// is still in time comes first and the rest would wait for its timeout.
+fn yielding(tables: &Tables, key: InstanceKey, request: &Request, now_us: u64) -> Yield {
+    let is_congested =
+        tables.instances.get(key).is_some_and(|instance| instance.congestion.is_congested());
+    if !is_congested || request.rank == 0 {
+        return Yield::No;
+    }
+    let target_us = request.target_us.saturating_sub(request.arrived_us);
+    let patience_us = if request.rank >= YIELDING_RANK { target_us / 4 } else { target_us };
+    if now_us > request.arrived_us + patience_us {
+        return Yield::Refuse;
+    }
+    if request.rank >= YIELDING_RANK { Yield::Wait } else { Yield::No }
 }
 
 /// Waits for the next primary, unless the request's time ends before.
@@ -308,10 +345,13 @@
 /// Expected time of an answer, which decides between replicas.
 fn cost_us(tables: &Tables, key: InstanceKey) -> u64 {
     const FAR_US: u64 = 1_000;
+    /// Answer time that is assumed of an instance that has not answered yet.
+    const ASSUMED_ANSWER_US: u64 = 1_000;
     let Some(instance) = tables.instances.get(key) else { return u64::MAX };
     let running = u64::from(tables.running(instance));
     let distance_us = if instance.is_near { 0 } else { FAR_US };
-    instance.answer_us * (running + 1) + distance_us
+    let answer_us = instance.congestion.answer_us().max(ASSUMED_ANSWER_US);
+    answer_us * (running + 1) + distance_us
 }
 
 /// Whether the primary has so little to do that it may take a read that replicas are too busy for.
