--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -46,7 +46,8 @@
 fn place_set(tables: &mut Tables, key: ReplicaSetKey, now_us: u64) {
     let Some(set) = tables.replica_sets.get_mut(key) else { return };
     let mut waiting = core::mem::take(&mut set.waiting);
-    waiting.sort_by_key(|session| order(tables, *session, now_us));
+    let answered_us = now_us + queueing_us(tables, key);
+    waiting.sort_by_key(|session| order(tables, *session, answered_us));
     let mut left = Vec::with_capacity(waiting.len());
     for session in waiting {
         match place(tables, key, session, now_us) {
@@ -71,10 +72,21 @@
     }
 }
 
-/// Requests that can still meet their target come first, by rank, then by target.
-fn order(tables: &Tables, key: SessionKey, now_us: u64) -> (bool, u8, u64) {
+/// Answer time of a congested primary. What would be answered after its target otherwise takes the
+/// place of what is still in time, until everything is late.
+fn queueing_us(tables: &Tables, key: ReplicaSetKey) -> u64 {
+    let primary = tables.replica_sets.get(key).and_then(|set| set.primary);
+    primary
+        .and_then(|key| tables.instances.get(key))
+        .filter(|instance| instance.congestion.is_congested())
+        .map_or(0, |instance| instance.congestion.answer_us())
+}
+
+/// Requests that can still meet their target come first, by rank, then by target. `answered_us` is
+/// when one that is sent now is answered.
+fn order(tables: &Tables, key: SessionKey, answered_us: u64) -> (bool, u8, u64) {
     match request(tables, key) {
-        Some(request) => (request.target_us < now_us, request.rank, request.target_us),
+        Some(request) => (request.target_us < answered_us, request.rank, request.target_us),
         None => (true, u8::MAX, u64::MAX),
     }
 }
@@ -185,20 +197,20 @@
 /// Answers the load of a primary that must serve all reads because its replicas are far behind. It
 /// serves in the order of arrival, so that the least urgent work of one proxy would delay the urgent
 /// work of all others: such work waits a quarter of its target for the congestion to end and is
-/// refused then. Other work but the most urgent is refused once its target has passed, because what
-/// is still in time comes first and the rest would wait for its timeout.
+/// refused then. Other work but the most urgent is refused once it can no longer be answered within
+/// its target, because what is still in time comes first and the rest would wait for its timeout.
 fn yielding(tables: &Tables, key: InstanceKey, request: &Request, now_us: u64) -> Yield {
-    let is_congested =
-        tables.instances.get(key).is_some_and(|instance| instance.congestion.is_congested());
-    if !is_congested || request.rank == 0 {
+    let Some(instance) = tables.instances.get(key) else { return Yield::No };
+    if !instance.congestion.is_congested() || request.rank == 0 {
         return Yield::No;
     }
-    let target_us = request.target_us.saturating_sub(request.arrived_us);
-    let patience_us = if request.rank >= YIELDING_RANK { target_us / 4 } else { target_us };
-    if now_us > request.arrived_us + patience_us {
-        return Yield::Refuse;
+    if request.rank < YIELDING_RANK {
+        let answered_us = now_us + instance.congestion.answer_us();
+        return if answered_us > request.target_us { Yield::Refuse } else { Yield::No };
     }
-    if request.rank >= YIELDING_RANK { Yield::Wait } else { Yield::No }
+    let target_us = request.target_us.saturating_sub(request.arrived_us);
+    let is_patient = now_us <= request.arrived_us + target_us / 4;
+    if is_patient { Yield::Wait } else { Yield::Refuse }
 }
 
 /// Waits for the next primary, unless the request's time ends before.
