Take twice the best second for congestion, with a test that replays the load

Eight proxies share an instance that serves in the order of arrival; 64 % of its slots are asked for by the second rank, 80 % by the third.

--- a/crates/pool/src/traffic/congestion.rs
+++ b/crates/pool/src/traffic/congestion.rs
@@ -25,7 +25,7 @@
     /// that has become slower.
     const RISE: u64 = 32;
     /// Multiple of the baseline from which an instance counts as congested.
-    const LIMIT: u64 = 3;
+    const LIMIT: u64 = 2;
     /// Answer time below which no instance counts as congested.
     const QUIET_US: u64 = 20_000;
 
--- a/crates/pool/tests/traffic_support/mod.rs
+++ b/crates/pool/tests/traffic_support/mod.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use flamingorock_core::{Lsn, Position, Term, TransactionStatus};
 use flamingorock_pool::traffic::{
-    AccessMode, Action, Answer, AnswerOutcome, Command, Event, Query, Report, Statement, Traffic,
-    TrafficConfig,
+    AccessMode, Action, Answer, AnswerOutcome, Command, Event, Query, ReplyOutcome, Report,
+    Statement, Traffic, TrafficConfig,
 };
 use flamingorock_pool::{
     Configuration, ConnectionKey, DatabaseRule, ErrorCode, InstanceStatus, InstanceView, Permit,
@@ -95,6 +95,10 @@
     pub opened: Vec<Opened>,
     pub reports: Vec<Report>,
     pub transcript: String,
+    /// Sessions that have been answered with success since it was cleared.
+    replied: Vec<SessionKey>,
+    /// Connections that have started.
+    started: Vec<ConnectionKey>,
     start_us: u64,
 }
 
@@ -118,10 +122,13 @@
             opened: Vec::new(),
             reports: Vec::new(),
             transcript: String::new(),
+            replied: Vec::new(),
+            started: Vec::new(),
             start_us,
         };
         world.publish(serving("a", 1));
         world.connect_all(position(1, 10));
+        world.started = world.opened.iter().map(|row| row.key).collect();
         world.transcript.clear();
         world
     }
@@ -157,6 +164,47 @@
         }
     }
 
+    /// Lets the connections start that have been opened since.
+    pub fn connect_new(&mut self, position: Position) {
+        let new: Vec<ConnectionKey> = self
+            .opened
+            .iter()
+            .filter(|row| !self.started.contains(&row.key))
+            .map(|row| row.key)
+            .collect();
+        for connection in new {
+            self.started.push(connection);
+            self.machine.push(Event::Connected { connection });
+            self.tick();
+            let position = Some(position);
+            self.machine.push(Event::ConnectionStarted { connection, position });
+            self.tick();
+        }
+    }
+
+    /// Completes the oldest command of a connection and returns the sessions that are answered.
+    pub fn complete_on(
+        &mut self,
+        connection: ConnectionKey,
+        status: TransactionStatus,
+        position: Position,
+    ) -> Vec<SessionKey> {
+        if let Some(opened) = self.opened.iter_mut().find(|row| row.key == connection) {
+            opened.sent.remove(0);
+        }
+        let answer = Answer {
+            rows: Vec::new(),
+            outcome: AnswerOutcome::Complete { signature: bytes("signature") },
+            status,
+            position: Some(position),
+            instance_status: None,
+        };
+        self.machine.push(Event::Answer { connection, answer });
+        self.replied.clear();
+        self.tick();
+        core::mem::take(&mut self.replied)
+    }
+
     pub fn advance(&mut self, span_us: u64) {
         self.now_us += span_us;
         self.tick();
@@ -176,7 +224,10 @@
         let line = match action {
             Action::Accept { .. } => "caller <- accepted".to_owned(),
             Action::Refuse { code, .. } => format!("caller <- refused {code}"),
-            Action::Reply { reply, .. } => {
+            Action::Reply { session, reply } => {
+                if matches!(reply.outcome, ReplyOutcome::Complete { .. }) {
+                    self.replied.push(session);
+                }
                 format!("caller <- {:?} {:?}", reply.outcome, reply.status)
             }
             Action::CloseSession { .. } => "caller <- closed".to_owned(),
