--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -123,7 +123,7 @@
 fn fault(world: &mut World) {
     let proxy = world.random.below(PROXIES as u64) as usize;
     let instance = world.random.below(INSTANCES as u64) as usize;
-    match world.random.below(11) {
+    match world.random.below(13) {
         0 => world.crash_instance(world.leader),
         1 => world.crash_instance(instance),
         2 => (0..INSTANCES).for_each(|index| world.restart_instance(index)),
@@ -147,10 +147,24 @@
                 world.cut_instances.insert((index, leader), is_cut);
             }
         }
+        10 | 11 => split(world),
         _ => heal(world),
     }
 }
 
+/// Cuts a minority with the primary off from the other proxies and the store.
+fn split(world: &mut World) {
+    let first = world.random.below(PROXIES as u64) as usize;
+    let group = [first, (first + 1) % PROXIES];
+    let leader = world.leader;
+    world.cut_group(&group, true);
+    for index in 0..PROXIES {
+        let is_minority = group.contains(&index);
+        world.cut_store[index] = is_minority;
+        world.cut_instances.insert((index, leader), !is_minority);
+    }
+}
+
 fn heal(world: &mut World) {
     world.store_down = false;
     world.cut_store = [false; PROXIES];
--- a/crates/pool/tests/fleet/world.rs
+++ b/crates/pool/tests/fleet/world.rs
@@ -29,7 +29,8 @@
 const SET: &str = "set";
 const LATENCY_US: u64 = 500;
 const WORK_US: u64 = 3_000;
-const PROMOTE_US: u64 = 600_000;
+/// Shorter than on the platform, so that it hides no haste.
+const PROMOTE_US: u64 = 100_000;
 const LAG_US: u64 = 20_000;
 const THINK_US: u64 = 25_000;
 
