--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -85,6 +85,7 @@
 
 impl Tables {
     pub fn new(config: ControlConfig, now_us: u64) -> Self {
+        let sequence = config.incarnation;
         Self {
             config,
             events: Vec::new(),
@@ -107,7 +108,8 @@
             sets: BTreeMap::new(),
             configuration: Arc::default(),
             reported_version: 0,
-            sequence: 0,
+            // Sequences of two lives of a proxy never meet, so that an old echo confirms nothing.
+            sequence,
             heartbeat_us: 0,
             is_urgent: false,
             is_changed: false,
--- a/crates/pool/src/group_call.rs
+++ b/crates/pool/src/group_call.rs
@@ -12,8 +12,6 @@
     Status,
     /// Stop being primary if the own term is lower.
     StepDown(Term),
-    /// Resume receiving after a pause.
-    Resume,
 }
 
 /// A call at an instance.
--- a/crates/pool/src/traffic.rs
+++ b/crates/pool/src/traffic.rs
@@ -30,7 +30,6 @@
 pub use event::Event;
 pub use machine::Traffic;
 pub use observation::Observation;
-pub use position_history::PositionHistory;
 pub use prepared::PreparedId;
 pub use report::Report;
 pub use statement::{AccessMode, Query, Statement};
--- a/crates/pool/src/traffic/action.rs
+++ b/crates/pool/src/traffic/action.rs
@@ -144,8 +144,6 @@
     Status,
     /// Stops being primary if the own term is lower.
     StepDown(Term),
-    /// Resumes receiving after a pause.
-    Resume,
 }
 
 /// A decision that touches a request, for the log.
--- a/crates/pool/src/traffic/position_history.rs
+++ b/crates/pool/src/traffic/position_history.rs
@@ -49,16 +49,4 @@
         let (asked_us, _) = self.samples.get(index.checked_sub(1)?)?;
         Some(*asked_us)
     }
-
-    /// The newest sample.
-    #[must_use]
-    pub fn newest(&self) -> Option<(u64, Position)> {
-        self.samples.back().copied()
-    }
-
-    /// The oldest sample.
-    #[must_use]
-    pub fn oldest(&self) -> Option<(u64, Position)> {
-        self.samples.front().copied()
-    }
 }
--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use flamingorock_core::{Position, Term};
 
-use super::PositionHistory;
+use super::position_history::PositionHistory;
 use crate::{InstanceKey, SessionKey};
 
 /// Whether statements may be sent to the primary.
@@ -36,13 +36,10 @@
     pub connections_share: u32,
     /// Idle connections that it keeps open at one instance.
     pub connections_kept: u32,
-    pub connections_limit: u32,
     /// Sessions whose request waits for a connection.
     pub waiting: Vec<SessionKey>,
     /// Last time a read that replicas may serve arrived.
     pub stale_read_us: u64,
-    /// Shortest staleness that any of its databases accepts, `u64::MAX` if none accepts any.
-    pub min_staleness_us: u64,
     /// Last time a report of a quiet primary was sent, by the term that it was for.
     pub quiet_reported: Option<Term>,
 }
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use flamingorock_core::Term;
 
-use super::super::PositionHistory;
 use super::super::congestion::Congestion;
 use super::super::database::Database;
 use super::super::instance::Instance;
+use super::super::position_history::PositionHistory;
 use super::super::replica_set::{PrimaryState, ReplicaSet};
 use super::super::session::Transaction;
 use super::super::tables::{Due, Tables};
@@ -52,10 +52,8 @@
         term_start: None,
         connections_share: 1,
         connections_kept: 1,
-        connections_limit: 1,
         waiting: Vec::new(),
         stale_read_us: 0,
-        min_staleness_us: u64::MAX,
         quiet_reported: None,
     }
 }
@@ -132,14 +130,13 @@
     let proxies = tables.view.proxies.max(1);
     let Some(set) = tables.replica_sets.get_mut(key) else { return };
     let rules = &tables.view.configuration.replica_sets;
-    if let Some(rule) = rules.iter().find(|rule| rule.name == set.name) {
-        set.connections_limit = rule.connections_limit.max(1);
-    }
+    let rule = rules.iter().find(|rule| rule.name == set.name);
+    let limit = rule.map_or(1, |rule| rule.connections_limit);
     // One connection is left for a proxy that is just starting.
-    set.connections_share = (set.connections_limit.saturating_sub(1) / proxies).max(1);
+    set.connections_share = (limit.saturating_sub(1) / proxies).max(1);
     // After a loss of power an instance counts the connections of the dead for some seconds. With a
     // third in use the same proxies find room at once.
-    set.connections_kept = (set.connections_limit / 3 / proxies).max(1);
+    set.connections_kept = (limit / 3 / proxies).max(1);
 }
 
 fn apply_primary(tables: &mut Tables, key: ReplicaSetKey, view: &PrimaryView, now_us: u64) {
@@ -215,15 +212,8 @@
 
 fn apply_databases(tables: &mut Tables, view: &PoolView) {
     tables.databases.clear();
-    for (_, set) in tables.replica_sets.iter_mut() {
-        set.min_staleness_us = u64::MAX;
-    }
     for rule in &view.configuration.databases {
         let Some(key) = tables.replica_set_named(&rule.replica_set) else { continue };
-        if let Some(set) = tables.replica_sets.get_mut(key) {
-            let staleness_us = rule.read_policy.max_staleness_us().unwrap_or(u64::MAX);
-            set.min_staleness_us = set.min_staleness_us.min(staleness_us);
-        }
         let database = Database {
             replica_set: key,
             read_policy: rule.read_policy,
--- a/crates/pool/src/traffic/systems/group_calls.rs
+++ b/crates/pool/src/traffic/systems/group_calls.rs
@@ -24,7 +24,6 @@
         let command = match call.command {
             GroupCommand::Status => Command::Status,
             GroupCommand::StepDown(term) => Command::StepDown(term),
-            GroupCommand::Resume => Command::Resume,
         };
         tables.due.add(call.deadline_us, Due::Systems);
         return tables.send(connection, Outstanding::Group(call), command, now_us);
