--- a/crates/daemon/src/pooled/decision_log.rs
+++ b/crates/daemon/src/pooled/decision_log.rs
@@ -3,7 +3,7 @@
 use flamingorock_pool::traffic::{Decision, DecisionKind};
 
 /// Lines a second that are written at most. A refused request takes one line, so that a flood of
-/// refusals costs under 2 % of a core.
+/// refusals would otherwise be a flood of lines.
 const LINES_PER_S: u64 = 200;
 const MICROSECONDS_PER_SECOND: u64 = 1_000_000;
 
