--- a/crates/pool/src/control/change.rs
+++ b/crates/pool/src/control/change.rs
@@ -2,6 +2,8 @@
 
 use displaydoc::Display;
 
+use crate::traffic::ReplicaState;
+
 /// A change of what the proxy believes.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum Change {
@@ -104,6 +106,19 @@
         /// The instance.
         instance: String,
     },
+    /// replica {instance} of {replica_set} is {state} for reads; lag {lag_ms} ms, {failure_permille} permille fail
+    Replica {
+        /// The replica set.
+        replica_set: String,
+        /// The instance.
+        instance: String,
+        /// Whether it takes reads.
+        state: ReplicaState,
+        /// Age of what its log covered when it was last seen.
+        lag_ms: String,
+        /// Statements that fail there, in thousandths.
+        failure_permille: u32,
+    },
     /// the primary of {replica_set} is held: claim {fence} of {holder} on term {term}
     Held {
         /// The replica set.
@@ -194,6 +209,7 @@
             Self::PrimaryUnknown { .. } => "primary_unknown",
             Self::PrimaryLost { .. } => "primary_lost",
             Self::PrimaryRegained { .. } => "primary_regained",
+            Self::Replica { .. } => "replica",
             Self::Held { .. } => "primary_held",
             Self::Stopped { .. } => "proxy_stopped",
             Self::Claiming { .. } => "claiming",
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -1,7 +1,7 @@
 //! Applies the events that arrived since the last tick.
 
-use super::super::tables::Tables;
-use super::super::{Event, PeerMessage, StoreAnswer, StoreCall};
+use super::super::tables::{Tables, text};
+use super::super::{Change, Event, PeerMessage, StoreAnswer, StoreCall};
 use super::stops::{self, Stop};
 use super::{
     detection, heartbeats, mirror, records, registration, search, shutdown, takeover_store,
@@ -72,6 +72,15 @@
         Report::NotPrimary { replica_set, instance } => {
             search::refused(tables, &replica_set, &instance, now_us);
         }
+        Report::Replica { replica_set, instance, state, lag_ms, failure_permille } => {
+            tables.changes.push(Change::Replica {
+                replica_set: text(&replica_set),
+                instance: text(&instance),
+                state,
+                lag_ms: lag_ms.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string()),
+                failure_permille,
+            });
+        }
         Report::GroupAnswer(GroupAnswer { call, outcome }) => {
             if let GroupOutcome::Status(status) = outcome {
                 search::answered(tables, &call, status, now_us);
--- a/crates/pool/src/traffic/instance.rs
+++ b/crates/pool/src/traffic/instance.rs
@@ -4,6 +4,7 @@
 use flamingorock_core::Position;
 use std::net::SocketAddr;
 
+use super::ReplicaState;
 use super::congestion::Congestion;
 use crate::{ConnectionKey, ReplicaSetKey};
 
@@ -36,6 +37,9 @@
     pub congestion: Congestion,
     /// Last report of a sign of life.
     pub reported_us: u64,
+    /// Whether it takes reads, as last reported, and when that was.
+    pub reported_state: ReplicaState,
+    pub state_reported_us: u64,
 }
 
 impl Instance {
--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -38,6 +38,8 @@
     pub connections_kept: u32,
     /// Sessions whose request waits for a connection.
     pub waiting: Vec<SessionKey>,
+    /// Largest age of what a read of the set may miss, over its databases.
+    pub staleness_limit_us: u64,
     /// Last time a read that replicas may serve arrived.
     pub stale_read_us: u64,
     /// Last time a report of a quiet primary was sent, by the term that it was for.
--- a/crates/pool/src/traffic/report.rs
+++ b/crates/pool/src/traffic/report.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use flamingorock_core::{Position, Term};
 
+use super::ReplicaState;
 use crate::GroupAnswer;
 
 /// An observation of the traffic machine.
@@ -44,6 +45,19 @@
         /// The instance.
         instance: Bytes,
     },
+    /// A replica takes reads from now on, or takes none.
+    Replica {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The instance.
+        instance: Bytes,
+        /// Whether it takes reads.
+        state: ReplicaState,
+        /// Age of what its log covered when it was last seen, if known.
+        lag_ms: Option<u64>,
+        /// Statements that fail there, in thousandths.
+        failure_permille: u32,
+    },
     /// A call has ended.
     GroupAnswer(GroupAnswer),
     /// The last session has ended after [`Event::Stop`](super::Event::Stop).
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -14,6 +14,7 @@
 mod quiescence;
 mod refusals;
 mod replica_choice;
+mod replica_watch;
 mod sending;
 mod sessions;
 mod shutdown;
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use flamingorock_core::Term;
 
+use super::super::ReplicaState;
 use super::super::congestion::Congestion;
 use super::super::database::Database;
 use super::super::instance::Instance;
@@ -54,6 +55,7 @@
         connections_kept: 1,
         waiting: Vec::new(),
         stale_read_us: 0,
+        staleness_limit_us: 0,
         quiet_reported: None,
     }
 }
@@ -115,6 +117,8 @@
         failure_permille: 0,
         congestion: Congestion::default(),
         reported_us: 0,
+        reported_state: ReplicaState::default(),
+        state_reported_us: 0,
     })
 }
 
@@ -212,6 +216,9 @@
 
 fn apply_databases(tables: &mut Tables, view: &PoolView) {
     tables.databases.clear();
+    for (_, set) in tables.replica_sets.iter_mut() {
+        set.staleness_limit_us = 0;
+    }
     for rule in &view.configuration.databases {
         let Some(key) = tables.replica_set_named(&rule.replica_set) else { continue };
         let database = Database {
@@ -222,6 +229,10 @@
             rank: rule.rank,
         };
         tables.databases.insert(rule.name.clone(), database);
+        if let Some(set) = tables.replica_sets.get_mut(key) {
+            let limit_us = rule.read_policy.max_staleness_us().unwrap_or(0);
+            set.staleness_limit_us = set.staleness_limit_us.max(limit_us);
+        }
     }
 }
 
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -99,7 +99,7 @@
     match request.need {
         Need::Primary => primary_choice::choose(tables, set, row, request, now_us),
         Need::Fresh { max_staleness_us, own_writes } => {
-            let since_us = (now_us + STALENESS_MARGIN_US).saturating_sub(max_staleness_us);
+            let since_us = since_us(max_staleness_us, now_us);
             match replica_choice::required_position(set, row, since_us, own_writes) {
                 Some(position)
                     if !request.prefers_primary || set.state != PrimaryState::Serving =>
@@ -115,6 +115,11 @@
     }
 }
 
+/// Time before which every acknowledged commit must be visible to a read that begins now.
+pub fn since_us(max_staleness_us: u64, now_us: u64) -> u64 {
+    (now_us + STALENESS_MARGIN_US).saturating_sub(max_staleness_us)
+}
+
 /// Opens a connection if the share of this proxy allows one more.
 fn open_if_allowed(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     let Some(instance) = tables.instances.get(key) else { return };
--- a/crates/pool/src/traffic/systems/replica_choice.rs
+++ b/crates/pool/src/traffic/systems/replica_choice.rs
@@ -111,7 +111,7 @@
 
 /// Whether a replica's log is likely to have a position that covers the commits before `since_us`:
 /// it had the position when last seen, or its lag then was shorter than the read allows.
-fn is_fresh(
+pub fn is_fresh(
     set: &ReplicaSet,
     instance: &Instance,
     position: Position,
@@ -122,14 +122,20 @@
     if seen >= position {
         return true;
     }
-    let Some(covered_us) = set.positions.covered_until_us(seen) else { return false };
-    let lag_us = seen_us.saturating_sub(covered_us);
+    let Some(lag_us) = lag_us(set, instance) else { return false };
     // Lags vary, and a replica that was not heard lately may have stopped receiving.
     let silent_us = now_us.saturating_sub(seen_us).saturating_sub(UNHEARD_US);
     let horizon_us = now_us.saturating_sub(lag_us + lag_us / 2 + silent_us + LAG_MARGIN_US);
     horizon_us >= since_us
 }
 
+/// Age of what a replica's log covered when it was last seen.
+pub fn lag_us(set: &ReplicaSet, instance: &Instance) -> Option<u64> {
+    let (seen_us, seen) = instance.seen?;
+    let covered_us = set.positions.covered_until_us(seen)?;
+    Some(seen_us.saturating_sub(covered_us))
+}
+
 /// Expected time of an answer, which decides between replicas.
 fn cost_us(tables: &Tables, key: InstanceKey) -> u64 {
     const FAR_US: u64 = 1_000;
--- a/crates/pool/src/traffic/systems/upkeep.rs
+++ b/crates/pool/src/traffic/systems/upkeep.rs
@@ -6,7 +6,7 @@
 use super::super::instance::Instance;
 use super::super::tables::{Due, Tables};
 use super::super::{Action, Command, Observation};
-use super::{connections, losses};
+use super::{connections, losses, replica_watch};
 use crate::{ConnectionKey, InstanceKey};
 
 /// Interval of the upkeep.
@@ -34,6 +34,7 @@
     tables.due.add(tables.upkeep_us, Due::Systems);
     for key in tables.instances.keys_where(|_| true) {
         keep(tables, key, now_us);
+        replica_watch::observe(tables, key, now_us);
     }
 }
 
