Tell searching proxies the primary that another one has found

Cause: after a loss of power 37 proxies find 46 places, most of them taken by the dead. Change: a proxy that reports term 0 for a set is sent the primary that the receiver has found and reaches. A record or a claim goes before it, as for an instance's own answer; the receiver has not heard the primary by that. Test primary_that_a_starting_proxy_cannot_ask_is_kept: one promotion before, none now.

--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -20,6 +20,15 @@
         /// The record.
         record: PromotionRecord,
     },
+    /// A primary that the sender has found and that no promotion record names.
+    Primary {
+        /// The replica set.
+        replica_set: Bytes,
+        /// The instance that leads.
+        instance: Bytes,
+        /// Its term.
+        term: Term,
+    },
     /// The sender has stopped using the primary that a claim replaces.
     Stopped {
         /// The sender.
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -1,8 +1,10 @@
 //! Heartbeats between proxies.
 
 use bytes::Bytes;
+use flamingorock_core::Term;
 
 use super::super::member::Member;
+use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, text};
 use super::super::{Action, Change, Heartbeat, MemberRecord, PeerMessage, SetReport};
 use super::registration;
@@ -122,12 +124,19 @@
     tables.is_changed = true;
 }
 
-/// Sends the sender the promotion records that it does not seem to have.
+/// Sends the sender the promotion records that it does not seem to have, and the primaries that it
+/// searches.
 fn inform(tables: &mut Tables, heartbeat: &Heartbeat) {
     let Some(member) = tables.members.get(&heartbeat.from) else { return };
     for report in &heartbeat.sets {
         let Some(set) = tables.sets.get(&report.replica_set) else { continue };
-        let Some(known) = &set.record else { continue };
+        let Some(known) = &set.record else {
+            let message = found_primary(&report.replica_set, set);
+            if let Some(message) = message.filter(|_| report.term == Term::default()) {
+                tables.actions.push(Action::Send { address: member.address, message });
+            }
+            continue;
+        };
         let is_behind = report.fence < known.record.fence
             || (report.term < set.term() && !known.record.is_claimed());
         if is_behind {
@@ -140,6 +149,17 @@
     }
 }
 
+/// The primary that this proxy has found and reaches.
+fn found_primary(name: &Bytes, set: &ReplicaSetState) -> Option<PeerMessage> {
+    let (instance, term) = set.primary()?;
+    let is_usable = set.lost_since_us.is_none() && !set.is_held();
+    is_usable.then(|| PeerMessage::Primary {
+        replica_set: name.clone(),
+        instance: instance.clone(),
+        term,
+    })
+}
+
 pub fn run(tables: &mut Tables, now_us: u64) {
     forget_gone(tables, now_us);
     let is_due = now_us >= tables.heartbeat_us || core::mem::take(&mut tables.is_urgent);
@@ -181,7 +201,7 @@
 }
 
 fn set_reports(tables: &Tables, now_us: u64) -> Vec<SetReport> {
-    let report = |(name, set): (&Bytes, &super::super::replica_set_state::ReplicaSetState)| {
+    let report = |(name, set): (&Bytes, &ReplicaSetState)| {
         let age_ms = now_us.saturating_sub(set.heard_us) / 1000;
         SetReport {
             replica_set: name.clone(),
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -51,6 +51,9 @@
             records::apply(tables, &replica_set, record, 0, "another proxy", now_us);
             records::answer_claim(tables, &replica_set, now_us);
         }
+        PeerMessage::Primary { replica_set, instance, term } => {
+            search::told(tables, &replica_set, &instance, term);
+        }
         PeerMessage::Stopped { from, replica_set, fence, position, silences } => {
             let stop = Stop { from, position, silences };
             stops::stopped(tables, stop, &replica_set, fence, now_us);
--- a/crates/pool/src/control/systems/search.rs
+++ b/crates/pool/src/control/systems/search.rs
@@ -48,23 +48,48 @@
 
 /// An instance has reported its state: if it leads, it is the primary.
 pub fn answered(tables: &mut Tables, call: &GroupCall, status: InstanceStatus, now_us: u64) {
-    let Some(set) = tables.sets.get_mut(&call.replica_set) else { return };
-    let Belief::Searching { .. } = set.belief else { return };
-    let is_superseded =
-        status.term < lowest_term(set.record.as_ref().map(|known| &known.record.state));
-    if status.role != ReplicationRole::Primary || is_superseded || set.is_held() {
-        return;
+    let is_primary = status.role == ReplicationRole::Primary;
+    if is_primary && find(tables, &call.replica_set, &call.instance, status.term, "the instance") {
+        if let Some(set) = tables.sets.get_mut(&call.replica_set) {
+            set.heard_us = now_us;
+        }
+        // The others may still be searching.
+        tables.is_urgent = true;
+    }
+}
+
+/// Another proxy has found the primary. Whether this one reaches it shows with the first connection.
+pub fn told(tables: &mut Tables, name: &Bytes, instance: &Bytes, term: Term) {
+    let is_listed = tables.sets.get(name).is_some_and(|set| set.instances.contains_key(instance));
+    if is_listed {
+        find(tables, name, instance, term, "another proxy");
     }
-    set.belief = Belief::Leading { instance: call.instance.clone(), term: status.term };
-    set.heard_us = now_us;
+}
+
+/// Ends the search, unless what was found has been superseded.
+fn find(
+    tables: &mut Tables,
+    name: &Bytes,
+    instance: &Bytes,
+    term: Term,
+    source: &'static str,
+) -> bool {
+    let Some(set) = tables.sets.get_mut(name) else { return false };
+    let Belief::Searching { .. } = set.belief else { return false };
+    let lowest = lowest_term(set.record.as_ref().map(|known| &known.record.state));
+    if term < lowest || set.is_held() {
+        return false;
+    }
+    set.belief = Belief::Leading { instance: instance.clone(), term };
     set.lost_since_us = None;
     tables.changes.push(Change::Primary {
-        replica_set: text(&call.replica_set),
-        instance: text(&call.instance),
-        term: status.term.0,
-        source: "the instance",
+        replica_set: text(name),
+        instance: text(instance),
+        term: term.0,
+        source,
     });
     tables.is_changed = true;
+    true
 }
 
 /// Term below which no instance may lead.
--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -57,6 +57,20 @@
     assert_eq!(world.outcome.promotions, 0);
 }
 
+/// Guards against a working primary that is replaced by a proxy that has just started and cannot ask
+/// it, because its connections are taken or a link is cut (trouble-1 of jfc-mobile-grown, 38.6 s).
+#[test]
+fn primary_that_a_starting_proxy_cannot_ask_is_kept() {
+    let mut world = World::new(6);
+    world.run(2_000 * MILLISECOND_US);
+    world.cut_instances.insert((3, 0), true);
+    world.kill_proxy(3);
+    world.run(500 * MILLISECOND_US);
+    world.restart_proxy(3);
+    world.run(5_000 * MILLISECOND_US);
+    assert_eq!(world.outcome.promotions, 0);
+}
+
 /// Guards against a replacement that waits for a proxy that is gone for good (inc-0565).
 #[test]
 fn proxy_that_is_gone_does_not_delay_a_replacement() {
