Keep few idle connections at instances with fewer places than the fleet would fill

Cause: 37 proxies share 46 places. Ruled out: the processes' start (12 ms to ready) and the search for primaries (46 ms once a place is free). Change: where a third of the places does not give each proxy one, a proxy keeps a connection to one replica of a set, chosen by rendezvous, and to the primary only if it is among the few that watch it. Others are opened for work and closed after 0.3 s, or 20 ms while the instance has no place free. A question about a lost primary opens a connection if there is none. Test idle_fleet_leaves_half_of_a_crowded_instance_free: 37 of 46 places before (one each), 23 at most now.

--- a/crates/daemon/src/pooled/run.rs
+++ b/crates/daemon/src/pooled/run.rs
@@ -41,7 +41,11 @@
     let traffic = Poller::new(MAILBOX_CAPACITY).map_err(DaemonError::starting("a thread"))?;
     let traffic_mailbox = traffic.sender();
     let parts = TrafficParts {
-        config: TrafficConfig { data_centre: settings.data_centre.clone(), permit: permit.clone() },
+        config: TrafficConfig {
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            permit: permit.clone(),
+        },
         callers_address: settings.callers_address,
         clock,
         metrics: metrics.clone(),
--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -9,6 +9,7 @@
 use super::super::takeover::{Stage, Takeover};
 use super::super::{Change, Condition, PromotionRecord, PromotionState, StoreCall};
 use super::permits;
+use crate::rendezvous;
 
 /// Delay between the claims of two proxies, by their order, so that usually one claims.
 const TURN_US: u64 = 80_000;
@@ -38,23 +39,13 @@
 /// Number of proxies in contact that come before this one for a replica set. The order differs by
 /// replica set, so that the work is spread.
 fn turn(tables: &Tables, name: &Bytes, now_us: u64) -> u64 {
-    let own = weight(name, &tables.config.name);
-    let before = tables
-        .members
-        .iter()
-        .filter(|(other, member)| member.is_in_contact(now_us) && weight(name, other) > own);
+    let own = rendezvous::weight(name, &tables.config.name);
+    let before = tables.members.iter().filter(|(other, member)| {
+        member.is_in_contact(now_us) && rendezvous::weight(name, other) > own
+    });
     before.count() as u64
 }
 
-/// Weight of a proxy for a replica set: FNV-1a over both names.
-pub fn weight(set: &Bytes, proxy: &Bytes) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    set.iter()
-        .chain(proxy.iter())
-        .fold(OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME))
-}
-
 /// Sends a claim to the store.
 pub fn claim(
     tables: &mut Tables,
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -5,7 +5,8 @@
 use super::super::{
     Change, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
 };
-use super::{claims, heartbeats, records};
+use super::{heartbeats, records};
+use crate::rendezvous;
 use bytes::Bytes;
 use std::sync::Arc;
 
@@ -61,7 +62,7 @@
 fn watch_wait_ms(tables: &Tables, now_us: u64) -> u32 {
     let size = tables.fleet_size(now_us) as u64;
     let longest_ms = (WATCH_WAIT_MS_PER_PROXY * size).clamp(WATCH_WAIT_MS, WATCH_WAIT_MAX_MS);
-    let spread_ms = claims::weight(&Bytes::new(), &tables.config.name) % (longest_ms / 2);
+    let spread_ms = rendezvous::weight(&Bytes::new(), &tables.config.name) % (longest_ms / 2);
     u32::try_from(longest_ms - spread_ms).unwrap_or(u32::MAX)
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod instance_status;
 mod permit;
 mod read_policy;
+mod rendezvous;
 pub mod traffic;
 mod view;
 
--- a/crates/pool/src/traffic/instance.rs
+++ b/crates/pool/src/traffic/instance.rs
@@ -30,6 +30,8 @@
     /// Not connected to before this time.
     pub connect_after_us: u64,
     pub connect_failures: u32,
+    /// Up to when it counts as having no place for another connection.
+    pub exhausted_until_us: u64,
     /// Not given work before this time, after it has refused some.
     pub refusing_until_us: u64,
     /// Failed statements among the recent ones, smoothed, in thousandths.
--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -32,9 +32,12 @@
     pub positions: PositionHistory,
     /// First position seen in the present term; it covers all commits that earlier terms have kept.
     pub term_start: Option<Position>,
+    /// Connections that one instance takes from all proxies together.
+    pub connections_limit: u32,
     /// Connections that this proxy may hold at one instance.
     pub connections_share: u32,
-    /// Idle connections that it keeps open at one instance.
+    /// Idle connections that it keeps open at one instance, 0 if the instances are too crowded for one
+    /// of each proxy.
     pub connections_kept: u32,
     /// Sessions whose request waits for a connection.
     pub waiting: Vec<SessionKey>,
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -8,6 +8,7 @@
 mod group_calls;
 mod intake;
 mod isolation;
+mod keeping;
 mod losses;
 mod placement;
 mod primary_choice;
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -51,6 +51,7 @@
         term: Term::default(),
         positions: PositionHistory::default(),
         term_start: None,
+        connections_limit: 1,
         connections_share: 1,
         connections_kept: 1,
         waiting: Vec::new(),
@@ -113,6 +114,7 @@
         is_lost: false,
         connect_after_us: 0,
         connect_failures: 0,
+        exhausted_until_us: 0,
         refusing_until_us: 0,
         failure_permille: 0,
         congestion: Congestion::default(),
@@ -137,10 +139,11 @@
     let rule = rules.iter().find(|rule| rule.name == set.name);
     let limit = rule.map_or(1, |rule| rule.connections_limit);
     // One connection is left for a proxy that is just starting.
+    set.connections_limit = limit;
     set.connections_share = (limit.saturating_sub(1) / proxies).max(1);
     // After a loss of power an instance counts the connections of the dead for some seconds. With a
     // third in use the same proxies find room at once.
-    set.connections_kept = (limit / 3 / proxies).max(1);
+    set.connections_kept = limit / 3 / proxies;
 }
 
 fn apply_primary(tables: &mut Tables, key: ReplicaSetKey, view: &PrimaryView, now_us: u64) {
--- a/crates/pool/src/traffic/systems/connections.rs
+++ b/crates/pool/src/traffic/systems/connections.rs
@@ -20,6 +20,8 @@
 const CONNECT_BACKOFF_MAX_US: u64 = 320_000;
 /// Delay before an instance whose connections are exhausted is asked for one again.
 const EXHAUSTED_BACKOFF_US: u64 = 100_000;
+/// Time for which an instance counts as exhausted after it has refused a connection.
+const EXHAUSTED_US: u64 = 1_000_000;
 /// Delay before an address is tried again at which another instance answered.
 const WRONG_INSTANCE_BACKOFF_US: u64 = 1_000_000;
 /// Shortest interval of reports that the primary lives.
@@ -77,6 +79,9 @@
     let instance = connection.instance;
     ending::discard(tables, key);
     let Some(row) = tables.instances.get_mut(instance) else { return };
+    if code == ErrorCode::ConnectionsExhausted {
+        row.exhausted_until_us = now_us + EXHAUSTED_US;
+    }
     row.connect_after_us = match code {
         ErrorCode::ConnectionsExhausted => now_us + EXHAUSTED_BACKOFF_US,
         ErrorCode::WrongInstance => now_us + WRONG_INSTANCE_BACKOFF_US,
@@ -92,6 +97,7 @@
 /// An instance takes no more connections for now.
 pub fn back_off(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     let Some(instance) = tables.instances.get_mut(key) else { return };
+    instance.exhausted_until_us = now_us + EXHAUSTED_US;
     instance.connect_after_us = now_us + EXHAUSTED_BACKOFF_US;
     let due_us = instance.connect_after_us;
     tables.due.add(due_us, Due::Systems);
--- a/crates/pool/src/traffic/systems/replica_watch.rs
+++ b/crates/pool/src/traffic/systems/replica_watch.rs
@@ -39,6 +39,9 @@
     if instance.is_leaving {
         return ReplicaState::Leaving;
     }
+    if instance.connections.is_empty() && !instance.is_lost {
+        return ReplicaState::Unknown;
+    }
     if instance.is_lost || instance.suspect_since_us.is_some() {
         return ReplicaState::Silent;
     }
--- a/crates/pool/src/traffic/systems/upkeep.rs
+++ b/crates/pool/src/traffic/systems/upkeep.rs
@@ -6,6 +6,7 @@
 use super::super::instance::Instance;
 use super::super::tables::{Due, Tables};
 use super::super::{Action, Command, Observation};
+use super::keeping::{self, Keeping};
 use super::{connections, losses, replica_watch};
 use crate::{ConnectionKey, InstanceKey};
 
@@ -23,8 +24,6 @@
 const IDLE_PROBE_US: u64 = 2_000_000;
 /// Time since the last stale read after which a set counts as serving none.
 const STALE_READS_US: u64 = 5_000_000;
-/// Idle time after which connections beyond those that are kept are closed.
-const SURPLUS_IDLE_US: u64 = 2_000_000;
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     if now_us < tables.upkeep_us || tables.instances.is_empty() {
@@ -40,10 +39,18 @@
 
 fn keep(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     close_silent(tables, key, now_us);
-    close_surplus(tables, key, now_us);
+    let Some(Keeping { connections: kept, idle_us }) = keeping::keeping(tables, key, now_us) else {
+        return;
+    };
+    close_surplus(tables, key, kept, idle_us, now_us);
     let Some(instance) = tables.instances.get(key) else { return };
     if instance.connections.is_empty() {
-        return connections::open(tables, key, now_us);
+        // One that is in trouble is tried until it answers.
+        let is_in_trouble = instance.is_lost || instance.suspect_since_us.is_some();
+        if kept > 0 || is_in_trouble {
+            connections::open(tables, key, now_us);
+        }
+        return;
     }
     if is_silent(tables, instance, now_us) {
         connections::suspect(tables, key, now_us);
@@ -114,7 +121,12 @@
         if let Some(instance) = tables.instances.get_mut(key) {
             instance.reported_us = 0;
         }
-        probe(tables, key, now_us);
+        let has_none =
+            tables.instances.get(key).is_some_and(|instance| instance.connections.is_empty());
+        match has_none {
+            true => connections::open(tables, key, now_us),
+            false => probe(tables, key, now_us),
+        }
     }
 }
 
@@ -134,16 +146,14 @@
 }
 
 /// Closes idle connections beyond those that are kept.
-fn close_surplus(tables: &mut Tables, key: InstanceKey, now_us: u64) {
+fn close_surplus(tables: &mut Tables, key: InstanceKey, kept: usize, idle_us: u64, now_us: u64) {
     let Some(instance) = tables.instances.get(key) else { return };
-    let Some(set) = tables.replica_sets.get(instance.replica_set) else { return };
-    let kept = set.connections_kept as usize;
     let surplus = instance.connections.len().saturating_sub(kept);
     let is_old = |key: &ConnectionKey| {
         tables.connections.get(*key).is_some_and(|connection: &Connection| {
             connection.state == ConnectionState::Ready
                 && connection.is_idle()
-                && now_us >= connection.last_used_us + SURPLUS_IDLE_US
+                && now_us >= connection.last_used_us + idle_us
         })
     };
     let closed: Vec<_> =
--- a/crates/pool/src/traffic/tables.rs
+++ b/crates/pool/src/traffic/tables.rs
@@ -152,8 +152,11 @@
         now_us: u64,
     ) {
         let Some(connection) = self.connections.get_mut(key) else { return };
+        // A probe must not keep a connection open that nothing else uses.
+        if outstanding != Outstanding::Probe {
+            connection.last_used_us = now_us;
+        }
         connection.outstanding.push_back((now_us, outstanding));
-        connection.last_used_us = now_us;
         self.actions.push(Action::Send { connection: key, command });
     }
 
--- a/crates/pool/tests/fleet/world.rs
+++ b/crates/pool/tests/fleet/world.rs
@@ -219,7 +219,8 @@
             permit: permit.clone(),
             grace_us: 6_000_000,
         };
-        let traffic = TrafficConfig { data_centre: bytes("here"), permit };
+        let name = bytes(&format!("proxy-{index}"));
+        let traffic = TrafficConfig { name, data_centre: bytes("here"), permit };
         Proxy {
             control: Control::new(control, self.now_us),
             traffic: Traffic::new(traffic),
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -129,3 +129,31 @@
     world.advance(20 * MILLISECOND_US);
     assert!(world.runs_at("a"), "{}", world.transcript);
 }
+
+/// Guards against a fleet whose idle connections fill an instance: after a loss of power the dead ones
+/// count for three seconds, and the proxies that are back find no place (trouble-1 of
+/// jfc-mobile-grown: 37 proxies, 46 places).
+#[test]
+fn idle_fleet_leaves_half_of_a_crowded_instance_free() {
+    const PROXIES: u32 = 37;
+    const PLACES: u32 = 46;
+    let mut rules = configuration(1);
+    rules.replica_sets[0].connections_limit = PLACES;
+    let rules = Arc::new(rules);
+    let mut held = [0; 3];
+    for index in 0..PROXIES {
+        let name = format!("edge-{}-{index}", ["curepipe", "mahebourg"][index as usize % 2]);
+        let mut world = World::of_fleet(&name, PROXIES, 3_600_000 * MILLISECOND_US);
+        world.publish_with(serving("a", 1), Arc::clone(&rules));
+        for _ in 0..50 {
+            world.advance(100 * MILLISECOND_US);
+            world.connect_new(position(1, 10));
+            world.answer_probes(position(1, 10));
+        }
+        for (count, instance) in held.iter_mut().zip(["a", "b", "c"]) {
+            *count += world.opened.iter().filter(|row| row.instance == instance).count();
+        }
+    }
+    assert!(held.iter().all(|count| *count <= PLACES as usize / 2), "{held:?}");
+    assert!(held.iter().all(|count| *count > 0), "{held:?}");
+}
--- a/crates/pool/tests/traffic_support/mod.rs
+++ b/crates/pool/tests/traffic_support/mod.rs
@@ -92,6 +92,7 @@
     pub permit: Permit,
     pub now_us: u64,
     pub view: PoolView,
+    pub proxies: u32,
     pub opened: Vec<Opened>,
     pub reports: Vec<Report>,
     pub transcript: String,
@@ -110,8 +111,14 @@
 
     /// As `new`, with a permit that expires.
     pub fn expiring(permit_us: u64) -> Self {
+        Self::of_fleet("proxy", 5, permit_us)
+    }
+
+    /// One proxy of a fleet.
+    pub fn of_fleet(name: &str, proxies: u32, permit_us: u64) -> Self {
         let permit = Permit::default();
-        let config = TrafficConfig { data_centre: bytes("here"), permit: permit.clone() };
+        let config =
+            TrafficConfig { name: bytes(name), data_centre: bytes("here"), permit: permit.clone() };
         let start_us = 10 * SECOND_US;
         permit.extend(start_us + permit_us);
         let mut world = Self {
@@ -119,6 +126,7 @@
             permit,
             now_us: start_us,
             view: PoolView::default(),
+            proxies,
             opened: Vec::new(),
             reports: Vec::new(),
             transcript: String::new(),
@@ -147,7 +155,7 @@
                 instances: vec![instance("a", 1), instance("b", 2), instance("c", 3)],
                 primary,
             }],
-            proxies: 5,
+            proxies: self.proxies,
         };
         self.machine.push(Event::View(Arc::new(self.view.clone())));
         self.tick();
