Let any proxy succeed the holder of a claim that does not finish

Cause: the detection cleared the time of a proxy's turn in every tick while a claim held the set, so that only the proxy with the first turn could succeed a holder. Change: the time is cleared only for a set without a claim. Test claim_of_a_holder_that_cannot_finish_is_taken_over: fails for holder 4 before, passes now.

--- a/crates/pool/src/control/systems/detection.rs
+++ b/crates/pool/src/control/systems/detection.rs
@@ -68,7 +68,8 @@
     for name in names {
         match judge(tables, &name, now_us) {
             Verdict::Keep | Verdict::Elsewhere => {
-                if let Some(set) = tables.sets.get_mut(&name) {
+                // While a claim holds the set, the time belongs to the succession of its holder.
+                if let Some(set) = tables.sets.get_mut(&name).filter(|set| !set.is_held()) {
                     set.claim_us = None;
                 }
             }
--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -87,6 +87,27 @@
     assert_eq!(world.outcome.violations, Vec::<String>::new());
 }
 
+/// Guards against a claim that nobody takes over because the one whose turn it is holds it and lives:
+/// it is cut off from the store and from the instances.
+#[test]
+fn claim_of_a_holder_that_cannot_finish_is_taken_over() {
+    for holder in 0..PROXIES {
+        let mut world = World::new(40 + holder as u64);
+        world.run(2_000 * MILLISECOND_US);
+        world.crash_instance(0);
+        world.run(20 * MILLISECOND_US);
+        world.cut_store[holder] = true;
+        for instance in 0..INSTANCES {
+            world.cut_instances.insert((holder, instance), true);
+        }
+        world.run(8_000 * MILLISECOND_US);
+        let served = world.outcome.acknowledged;
+        world.run(1_000 * MILLISECOND_US);
+        assert!(world.outcome.acknowledged > served, "holder {holder}: {:?}", world.outcome);
+        assert_eq!(world.outcome.violations, Vec::<String>::new());
+    }
+}
+
 /// Guards against a replacement that waits for a proxy that is gone for good (inc-0565).
 #[test]
 fn proxy_that_is_gone_does_not_delay_a_replacement() {
