Use a promoted primary at once, although the store is away

Cause: the belief in a new primary changed only when the store had taken the end of the replacement. Ruled out: the promotion itself (accepted after 14 ms) and the other proxies' contact. Change: when the instance itself says that it leads, the holder uses it and tells all others; the end of the replacement is written until the store has it or a newer claim. That is as safe as before: whoever claims next writes under the revision of this claim and waits until nobody uses the new primary. The revision of a record is kept as the store's, whatever a proxy was told since. Test new_primary_is_used_although_the_store_is_away: no statement in a second before, over 20 now.

--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -22,11 +22,22 @@
 #[derive(Clone, Debug)]
 pub struct KnownRecord {
     pub record: PromotionRecord,
-    /// Revision in the store, 0 if it came from another proxy.
+    /// Highest revision of the record that was seen in the store, 0 if none was. The store may have
+    /// an older record than another proxy has told.
     pub revision: u64,
     pub seen_us: u64,
 }
 
+/// The end of an own replacement that the store does not have yet.
+#[derive(Clone, Debug)]
+pub struct UnwrittenRecord {
+    pub record: PromotionRecord,
+    /// Revision of the claim, which must be unchanged.
+    pub revision: u64,
+    pub next_us: u64,
+    pub is_writing: bool,
+}
+
 /// A replica set.
 #[derive(Debug)]
 pub struct ReplicaSetState {
@@ -42,6 +53,7 @@
     pub quiet_term: Option<Term>,
     pub last_position: Option<flamingorock_core::Position>,
     pub takeover: Option<Takeover>,
+    pub unwritten: Option<UnwrittenRecord>,
     /// When the instances are asked next for a primary.
     pub search_us: u64,
     /// When the primary may be replaced at the earliest, so that proxies claim one after the other.
@@ -65,6 +77,7 @@
             quiet_term: None,
             last_position: None,
             takeover: None,
+            unwritten: None,
             search_us: 0,
             claim_us: None,
             takeover_us: ASSUMED_TAKEOVER_US,
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -19,13 +19,13 @@
 ) {
     let set = tables.sets.entry(name.clone()).or_insert_with(|| ReplicaSetState::new(now_us));
     if let Some(known) = &mut set.record {
-        if known.record == record && revision > known.revision {
-            known.revision = revision;
-        }
+        // The revision is the store's, whatever another proxy has told since.
+        known.revision = known.revision.max(revision);
         if record.order() <= known.record.order() {
             return;
         }
     }
+    let revision = revision.max(set.record.as_ref().map_or(0, |known| known.revision));
     let since_us = set.claim().map(|claim| claim.seen_us);
     match &record.state {
         PromotionState::Claimed { term, .. } => tables.changes.push(Change::Held {
--- a/crates/pool/src/control/systems/takeover_store.rs
+++ b/crates/pool/src/control/systems/takeover_store.rs
@@ -5,11 +5,14 @@
 use super::super::tables::Tables;
 use super::super::takeover::Stage;
 use super::super::{
-    PromotionRecord, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreOutcome,
+    Condition, PromotionRecord, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreOutcome,
 };
 use super::records;
 use super::takeovers::{CLAIM_VALID_US, POLL_US, STORE_TIMEOUT_US, broadcast, drop_claim, with};
 
+/// Delay before the write of a replacement's end is repeated.
+const RETRY_US: u64 = 200_000;
+
 /// Reads the record back after the answer to a claim was lost.
 pub fn read_back(tables: &mut Tables, name: &Bytes, now_us: u64) {
     let is_new = with(tables, name, |_, takeover| {
@@ -22,10 +25,54 @@
     }
 }
 
+/// Writes that a replacement is done, until the store has that or something newer.
+pub fn write_done(tables: &mut Tables, name: &Bytes, now_us: u64) {
+    let Some(unwritten) = tables.sets.get_mut(name).and_then(|set| set.unwritten.as_mut()) else {
+        return;
+    };
+    if unwritten.is_writing || now_us < unwritten.next_us {
+        return;
+    }
+    unwritten.is_writing = true;
+    let call = StoreCall::WritePromotion {
+        replica_set: name.clone(),
+        record: unwritten.record.clone(),
+        condition: Condition { revision: unwritten.revision },
+    };
+    tables.call_store(call, now_us + STORE_TIMEOUT_US);
+}
+
+/// The store has answered the write of a replacement's end.
+fn done_answered(tables: &mut Tables, name: &Bytes, outcome: StoreOutcome, now_us: u64) {
+    let Some(set) = tables.sets.get_mut(name) else { return };
+    let Some(mut unwritten) = set.unwritten.take() else { return };
+    match outcome {
+        StoreOutcome::Written { revision } => {
+            records::apply(tables, name, unwritten.record, revision, "own promotion", now_us);
+        }
+        StoreOutcome::Conflict { item } => {
+            // Either an earlier try was done, or another claim has superseded it.
+            if let Some(StoreItem { content: StoreContent::Promotion(record), revision, .. }) = item
+            {
+                records::apply(tables, name, record, revision, "the store", now_us);
+                records::answer_claim(tables, name, now_us);
+            }
+        }
+        _ => {
+            unwritten.is_writing = false;
+            unwritten.next_us = now_us + RETRY_US;
+            set.unwritten = Some(unwritten);
+        }
+    }
+}
+
 /// Answers of the store to the calls of a replacement.
 pub fn answered(tables: &mut Tables, answer: StoreAnswer, now_us: u64) {
     let (name, written) = match answer.call {
         StoreCall::ReadPromotion { replica_set } => (replica_set, None),
+        StoreCall::WritePromotion { replica_set, record, .. } if !record.is_claimed() => {
+            return done_answered(tables, &replica_set, answer.outcome, now_us);
+        }
         StoreCall::WritePromotion { replica_set, record, .. } => (replica_set, Some(record)),
         _ => return,
     };
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -3,14 +3,13 @@
 use bytes::Bytes;
 use flamingorock_core::Term;
 
-use super::super::replica_set_state::ReplicaSetState;
+use super::super::replica_set_state::{ReplicaSetState, UnwrittenRecord};
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
 use super::super::{
-    Action, Change, Condition, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
-    StoreCall,
+    Action, Change, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
 };
-use super::{candidates, claims, stops, takeover_store};
+use super::{candidates, claims, records, stops, takeover_store};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
 
 /// How long after it was sent a claim may lead to a promotion call. A successor waits it out.
@@ -34,6 +33,7 @@
     let names: Vec<Bytes> = tables.sets.keys().cloned().collect();
     for name in names {
         succeed(tables, &name, now_us);
+        takeover_store::write_done(tables, &name, now_us);
         step(tables, &name, now_us);
     }
 }
@@ -74,7 +74,6 @@
         Stage::Settling { instance, since_us } => {
             settle(tables, name, &instance, since_us, now_us);
         }
-        Stage::Recording { instance, term } => write_done(tables, name, instance, term, now_us),
     }
 }
 
@@ -115,17 +114,18 @@
 
 /// A candidate or the promoted instance has reported its state.
 pub fn status(tables: &mut Tables, call: &GroupCall, status: InstanceStatus, now_us: u64) {
-    with(tables, &call.replica_set, |_, takeover| {
+    let leads = with(tables, &call.replica_set, |_, takeover| {
         takeover.statuses.retain(|(id, _)| *id != call.instance);
         takeover.statuses.push((call.instance.clone(), status));
-        if let Stage::Settling { instance, .. } = &takeover.stage {
-            let leads = status.role == ReplicationRole::Primary && status.term > takeover.term;
-            if *instance == call.instance && leads {
-                takeover.stage = Stage::Recording { instance: instance.clone(), term: status.term };
-            }
-        }
         takeover.next_us = now_us;
+        let is_promoted = matches!(
+            &takeover.stage, Stage::Settling { instance, .. } if *instance == call.instance
+        );
+        is_promoted && status.role == ReplicationRole::Primary && status.term > takeover.term
     });
+    if leads == Some(true) {
+        finish(tables, &call.replica_set, call.instance.clone(), status.term, now_us);
+    }
 }
 
 /// Waits for the other proxies and the candidates, then promotes.
@@ -252,18 +252,16 @@
     }));
 }
 
-/// Writes that the replacement is done. The belief changes at once: the instance itself says that it
-/// leads, and nobody else may promote before the claim is superseded in the store.
-fn write_done(tables: &mut Tables, name: &Bytes, instance: Bytes, term: Term, now_us: u64) {
-    let Some((fence, revision, former, is_new)) = with(tables, name, |_, takeover| {
-        takeover.next_us = now_us + POLL_US;
-        let is_new = !core::mem::replace(&mut takeover.is_writing, true);
-        (takeover.fence, takeover.revision, takeover.former.clone(), is_new)
-    }) else {
-        return;
-    };
-    if !is_new {
-        return;
+/// The promoted instance leads. Everybody may use it at once: the record in the store is still this
+/// claim, and whoever claims next must wait until nobody uses the new primary. The store learns of it
+/// as soon as it takes the write.
+fn finish(tables: &mut Tables, name: &Bytes, instance: Bytes, term: Term, now_us: u64) {
+    let done = with(tables, name, |_, takeover| {
+        (takeover.fence, takeover.revision, takeover.former.clone())
+    });
+    let Some((fence, revision, former)) = done else { return };
+    if let Some(former) = former {
+        step_down(tables, name, former, term, now_us);
     }
     let record = PromotionRecord {
         fence,
@@ -271,15 +269,13 @@
         holder_incarnation: tables.config.incarnation,
         state: PromotionState::Done { instance, term },
     };
-    if let Some(former) = former {
-        step_down(tables, name, former, term, now_us);
+    records::apply(tables, name, record.clone(), revision, "own promotion", now_us);
+    broadcast(tables, name, &[]);
+    if let Some(set) = tables.sets.get_mut(name) {
+        let is_writing = false;
+        set.unwritten = Some(UnwrittenRecord { record, revision, next_us: now_us, is_writing });
     }
-    let call = StoreCall::WritePromotion {
-        replica_set: name.clone(),
-        record,
-        condition: Condition { revision },
-    };
-    tables.call_store(call, now_us + STORE_TIMEOUT_US);
+    takeover_store::write_done(tables, name, now_us);
 }
 
 /// The old primary may not know yet that it has been replaced.
--- a/crates/pool/src/control/takeover.rs
+++ b/crates/pool/src/control/takeover.rs
@@ -20,8 +20,6 @@
     Promoting { instance: Bytes },
     /// Waits for the instance to lead.
     Settling { instance: Bytes, since_us: u64 },
-    /// The instance leads; the record is being written.
-    Recording { instance: Bytes, term: Term },
 }
 
 /// A replacement.
--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -87,6 +87,28 @@
     assert_eq!(world.outcome.violations, Vec::<String>::new());
 }
 
+/// Guards against a new primary that nobody uses because the store turned the holder of the claim away
+/// after the promotion (trouble-1 of jfc-mobile --seed 596653099897: ten seconds).
+#[test]
+fn new_primary_is_used_although_the_store_is_away() {
+    let mut world = World::new(9);
+    world.run(2_000 * MILLISECOND_US);
+    world.crash_instance(0);
+    world.run(60 * MILLISECOND_US);
+    world.store_down = true;
+    world.run(2_000 * MILLISECOND_US);
+    assert_eq!(world.outcome.promotions, 1);
+    let before = world.outcome.acknowledged;
+    world.run(1_000 * MILLISECOND_US);
+    assert!(world.outcome.acknowledged > before + 20, "{:?}", world.outcome);
+    world.store_down = false;
+    world.run(4_000 * MILLISECOND_US);
+    world.crash_instance(world.leader);
+    world.run(2_000 * MILLISECOND_US);
+    assert_eq!(world.outcome.promotions, 2);
+    assert_eq!(world.outcome.violations, Vec::<String>::new());
+}
+
 /// Guards against a claim that nobody takes over because the one whose turn it is holds it and lives:
 /// it is cut off from the store and from the instances.
 #[test]
