Tell proxies that lack the store about the instances

Ruled out: the permit and the belief in the primary, both there. Change: heartbeats say whether the sender lacks the store; about two of the others answer with the entries of each set. They are used only while the own store is silent, and never go back to an earlier start or from leaving to staying. Test proxy_without_the_store_hears_of_new_instances: no instance before, the new one now.

--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PromotionRecord;
+use crate::InstanceEntry;
 
 /// A message between two proxies, one datagram each.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -29,6 +30,13 @@
         /// Its term.
         term: Term,
     },
+    /// The instances of a replica set, for a proxy that lacks the store.
+    Instances {
+        /// The replica set.
+        replica_set: Bytes,
+        /// Their entries.
+        entries: Vec<InstanceEntry>,
+    },
     /// The sender has stopped using the primary that a claim replaces.
     Stopped {
         /// The sender.
@@ -68,6 +76,8 @@
     pub echo: u64,
     /// Newest configuration that the sender has.
     pub configuration_version: u64,
+    /// Whether the store does not answer the sender.
+    pub lacks_store: bool,
     /// What the sender believes of the primaries.
     pub sets: Vec<SetReport>,
 }
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -13,6 +13,7 @@
 mod records;
 mod registration;
 mod search;
+mod sharing;
 mod shutdown;
 mod stops;
 mod takeover_store;
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -7,7 +7,7 @@
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, text};
 use super::super::{Action, Change, Heartbeat, MemberRecord, PeerMessage, SetReport};
-use super::registration;
+use super::{registration, sharing};
 
 /// Interval of heartbeats in a small fleet.
 const INTERVAL_US: u64 = 250_000;
@@ -79,6 +79,7 @@
         .collect();
     inform(tables, &heartbeat);
     meet(tables, &heartbeat);
+    sharing::inform(tables, &heartbeat, now_us);
     let Some(member) = tables.members.get_mut(&heartbeat.from) else { return };
     if heartbeat.incarnation < member.incarnation {
         return;
@@ -194,6 +195,7 @@
         sequence: tables.sequence,
         echo: member.heard_sequence,
         configuration_version: tables.configuration.version,
+        lacks_store: tables.mirror.is_lost,
         sets,
     };
     let message = PeerMessage::Heartbeat(heartbeat);
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -4,7 +4,7 @@
 use super::super::{Change, Event, PeerMessage, StoreAnswer, StoreCall};
 use super::stops::{self, Stop};
 use super::{
-    detection, directory, heartbeats, mirror, records, registration, search, shutdown,
+    detection, directory, heartbeats, mirror, records, registration, search, sharing, shutdown,
     takeover_store, takeovers,
 };
 use crate::traffic::Report;
@@ -55,6 +55,9 @@
         PeerMessage::Primary { replica_set, instance, term } => {
             search::told(tables, &replica_set, &instance, term, "another proxy");
         }
+        PeerMessage::Instances { replica_set, entries } => {
+            sharing::receive(tables, &replica_set, entries, now_us);
+        }
         PeerMessage::Stopped { from, replica_set, fence, position, silences } => {
             let stop = Stop { from, position, silences };
             stops::stopped(tables, stop, &replica_set, fence, now_us);
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -276,7 +276,7 @@
     tables.is_urgent = true;
 }
 
-fn apply_instance(tables: &mut Tables, entry: crate::InstanceEntry, now_us: u64) {
+pub fn apply_instance(tables: &mut Tables, entry: crate::InstanceEntry, now_us: u64) {
     let set = tables
         .sets
         .entry(entry.replica_set.clone())
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use flamingorock_pool::Permit;
 use flamingorock_pool::control::{
-    Action, Control, ControlConfig, Event, MemberRecord, StoreAnswer, StoreCall, StoreContent,
-    StoreItem, StoreKey, StoreOutcome,
+    Action, Control, ControlConfig, Event, Heartbeat, MemberRecord, PeerMessage, StoreAnswer,
+    StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
 };
+use flamingorock_pool::{Configuration, InstanceEntry, Permit, ReplicaSetRule};
 
 const MILLISECOND_US: u64 = 1_000;
 
@@ -65,6 +65,98 @@
         let answer = StoreAnswer { call, sent_us: self.now_us, outcome };
         self.control.push(Event::Store(Box::new(answer)));
     }
+
+    /// Ticks and returns the messages to other proxies.
+    fn messages(&mut self) -> Vec<PeerMessage> {
+        self.control.tick(self.now_us);
+        let mut actions = Vec::new();
+        self.control.take_actions(&mut actions);
+        let messages = actions.into_iter().filter_map(|action| match action {
+            Action::Send { message, .. } => Some(message),
+            _ => None,
+        });
+        messages.collect()
+    }
+
+    /// Answers the first listing with a configuration and these items.
+    fn list(&mut self, mut items: Vec<StoreItem>) {
+        let list = self.mirror_calls().remove(0);
+        let content = StoreContent::Configuration(configuration());
+        items.push(StoreItem { key: StoreKey::Configuration, revision: 2, content });
+        self.answer(list, StoreOutcome::Page { items, as_of: 40, next: None });
+    }
+
+    /// Ids of the instances in the view that was published last.
+    fn published(&mut self) -> Vec<Bytes> {
+        self.control.tick(self.now_us);
+        let mut actions = Vec::new();
+        self.control.take_actions(&mut actions);
+        let views = actions.into_iter().filter_map(|action| match action {
+            Action::Publish(view) => Some(view),
+            _ => None,
+        });
+        let ids = |view: std::sync::Arc<flamingorock_pool::PoolView>| {
+            let instances = view.replica_sets.iter().flat_map(|set| set.instances.iter());
+            instances.map(|instance| instance.id.clone()).collect()
+        };
+        views.last().map(ids).unwrap_or_default()
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 1,
+        databases: Vec::new(),
+        replica_sets: vec![ReplicaSetRule {
+            name: bytes("set"),
+            connections_limit: 16,
+            sync_replicas: 0,
+        }],
+        idle_transaction_us: 3_000 * MILLISECOND_US,
+    }
+}
+
+fn instance(id: &str) -> StoreItem {
+    let entry = InstanceEntry {
+        id: bytes(id),
+        started_unix_ms: 1,
+        replica_set: bytes("set"),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: bytes("here"),
+        slots: 2,
+        is_leaving: false,
+        believed_role: None,
+    };
+    let key = StoreKey::Instance(bytes(id));
+    StoreItem { key, revision: 3, content: StoreContent::Instance(entry) }
+}
+
+/// Guards against a proxy that knows which instance leads and not where it is, because the store has
+/// turned the proxy away since before the instance came (trouble-1 of jfc-mobile, 20.4 s to 24.6 s).
+#[test]
+fn proxy_without_the_store_hears_of_new_instances() {
+    let mut teller = World::new();
+    teller.list(vec![member(1, 4), instance("new")]);
+    let mut lacking = World::new();
+    lacking.list(Vec::new());
+    lacking.mirror_calls();
+    lacking.now_us = 2_500 * MILLISECOND_US;
+    lacking.mirror_calls();
+    let heartbeat = Heartbeat {
+        from: bytes("proxy-1"),
+        address: peer_address(),
+        incarnation: 4,
+        sequence: 1,
+        echo: 0,
+        configuration_version: 1,
+        lacks_store: true,
+        sets: Vec::new(),
+    };
+    teller.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
+    for message in teller.messages() {
+        lacking.control.push(Event::Peer(message));
+    }
+    assert_eq!(lacking.published(), [bytes("new")]);
 }
 
 /// Guards against a start of a large fleet in which each record ends the watch of every proxy (14
