Send callers elsewhere from a proxy that has no address of the primary

Change: while the own store is silent such a primary counts as one that others reach. Ruled out: refusing this in the traffic machine too when the store is there: after a cold start the entry comes within a second, and callers would spend their retries before. Test primary_without_an_address_is_elsewhere: serving before.

--- a/crates/pool/src/control/systems/publishing.rs
+++ b/crates/pool/src/control/systems/publishing.rs
@@ -95,7 +95,9 @@
 ) -> PrimaryView {
     let Some((instance, term)) = set.primary() else { return PrimaryView::Unknown };
     let instance = instance.clone();
-    if detection::is_elsewhere(tables, name, now_us) {
+    // Others that have the store know its address.
+    let lacks_address = tables.mirror.is_lost && !set.instances.contains_key(&instance);
+    if lacks_address || detection::is_elsewhere(tables, name, now_us) {
         return PrimaryView::Elsewhere { instance, term };
     }
     match set.lost_since_us {
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -1,13 +1,17 @@
 //! Calls of the control machine to the store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use flamingorock_core::Term;
 use flamingorock_pool::control::{
-    Action, Control, ControlConfig, Event, Heartbeat, MemberRecord, PeerMessage, StoreAnswer,
-    StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
+    Action, Control, ControlConfig, Event, Heartbeat, MemberRecord, PeerMessage, PromotionRecord,
+    PromotionState, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
+};
+use flamingorock_pool::{
+    Configuration, InstanceEntry, Permit, PoolView, PrimaryView, ReplicaSetRule,
 };
-use flamingorock_pool::{Configuration, InstanceEntry, Permit, ReplicaSetRule};
 
 const MILLISECOND_US: u64 = 1_000;
 
@@ -86,8 +90,8 @@
         self.answer(list, StoreOutcome::Page { items, as_of: 40, next: None });
     }
 
-    /// Ids of the instances in the view that was published last.
-    fn published(&mut self) -> Vec<Bytes> {
+    /// Ticks and returns the view that was published last.
+    fn view(&mut self) -> Option<Arc<PoolView>> {
         self.control.tick(self.now_us);
         let mut actions = Vec::new();
         self.control.take_actions(&mut actions);
@@ -95,11 +99,14 @@
             Action::Publish(view) => Some(view),
             _ => None,
         });
-        let ids = |view: std::sync::Arc<flamingorock_pool::PoolView>| {
-            let instances = view.replica_sets.iter().flat_map(|set| set.instances.iter());
-            instances.map(|instance| instance.id.clone()).collect()
-        };
-        views.last().map(ids).unwrap_or_default()
+        views.last()
+    }
+
+    /// Ticks and returns the ids of the instances in the view that was published last.
+    fn published(&mut self) -> Vec<Bytes> {
+        let view = self.view().unwrap_or_default();
+        let instances = view.replica_sets.iter().flat_map(|set| set.instances.iter());
+        instances.map(|instance| instance.id.clone()).collect()
     }
 }
 
@@ -159,6 +166,24 @@
     assert_eq!(lacking.published(), [bytes("new")]);
 }
 
+/// Guards against statements that wait for their timeout at a proxy that has no address of the primary
+/// and no store to learn it from: their callers are sent to others at once.
+#[test]
+fn primary_without_an_address_is_elsewhere() {
+    let mut world = World::new();
+    world.list(Vec::new());
+    world.mirror_calls();
+    world.now_us = 2_500 * MILLISECOND_US;
+    let state = PromotionState::Done { instance: bytes("new"), term: Term(2) };
+    let record =
+        PromotionRecord { fence: 1, holder: bytes("proxy-1"), holder_incarnation: 4, state };
+    let replica_set = bytes("set");
+    world.control.push(Event::Peer(PeerMessage::Record { replica_set, record }));
+    let view = world.view().expect("the belief has changed");
+    let expected = PrimaryView::Elsewhere { instance: bytes("new"), term: Term(2) };
+    assert_eq!(view.replica_sets[0].primary, expected);
+}
+
 /// Guards against a start of a large fleet in which each record ends the watch of every proxy (14
 /// watches a proxy in the first five seconds of jfc-mobile-grown).
 #[test]
