Adopt the announced primary of a holder that stands still

Ruled out: a shorter time before the next claim; the holder's call may arrive until then. Change: the holder tells the others which instance it promotes before it calls. If the end is late by a quarter, one of them asks that instance; once it leads, the replacement is done, with the claim's fence and under its revision, for all. Another instance that leads may be superseded and is not adopted.

--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -30,6 +30,15 @@
         /// Its term.
         term: Term,
     },
+    /// The sender, who holds a claim, is about to promote an instance.
+    Promoting {
+        /// The replica set.
+        replica_set: Bytes,
+        /// Fence of the claim.
+        fence: u64,
+        /// The instance.
+        instance: Bytes,
+    },
     /// The instances of a replica set, for a proxy that lacks the store.
     Instances {
         /// The replica set.
--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -54,7 +54,9 @@
     pub last_position: Option<flamingorock_core::Position>,
     pub takeover: Option<Takeover>,
     pub unwritten: Option<UnwrittenRecord>,
-    /// When the instances are asked next for a primary.
+    /// Fence of a claim and the instance that its holder promotes.
+    pub announced: Option<(u64, Bytes)>,
+    /// When instances are asked next whether they lead.
     pub search_us: u64,
     /// When the primary may be replaced at the earliest, so that proxies claim one after the other.
     pub claim_us: Option<u64>,
@@ -78,6 +80,7 @@
             last_position: None,
             takeover: None,
             unwritten: None,
+            announced: None,
             search_us: 0,
             claim_us: None,
             takeover_us: ASSUMED_TAKEOVER_US,
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -1,5 +1,6 @@
 //! Systems of the control machine, in the order in which a tick runs them.
 
+mod adoption;
 mod candidates;
 mod claims;
 mod detection;
--- /dev/null
+++ b/crates/pool/src/control/systems/adoption.rs
@@ -0,0 +1,88 @@
+//! Ends the replacement of a holder that stands still after its promotion call.
+//!
+//! Before its call the holder tells the others which instance it promotes. If the end of the
+//! replacement does not come in time, another proxy asks that instance, and all use it as soon as it
+//! says that it leads. Any other instance that leads may be one that this claim supersedes.
+
+use bytes::Bytes;
+
+use super::super::replica_set_state::{KnownRecord, UnwrittenRecord};
+use super::super::tables::Tables;
+use super::super::{Action, PromotionRecord, PromotionState};
+use super::takeovers::{POLL_US, STATUS_TIMEOUT_US, broadcast};
+use super::{records, takeover_store};
+use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole, rendezvous};
+
+/// Delay between the questions of two proxies, by their order.
+const TURN_US: u64 = 100_000;
+
+/// The holder of a claim tells which instance it promotes.
+pub fn announced(tables: &mut Tables, name: &Bytes, fence: u64, instance: Bytes) {
+    if let Some(set) = tables.sets.get_mut(name) {
+        set.announced = Some((fence, instance));
+    }
+}
+
+/// Asks the announced instance whether it leads, once the holder is late.
+pub fn run(tables: &mut Tables, name: &Bytes, now_us: u64) {
+    let Some(set) = tables.sets.get(name) else { return };
+    let Some(instance) = awaited(tables, name).cloned() else { return };
+    let Some(claim) = set.claim() else { return };
+    let late_us = claim.seen_us + set.takeover_us + set.takeover_us / 4;
+    let due_us = late_us + turn(tables, name, claim, now_us) * TURN_US;
+    if now_us < due_us.max(set.search_us) {
+        return;
+    }
+    if let Some(set) = tables.sets.get_mut(name) {
+        set.search_us = now_us + POLL_US;
+    }
+    tables.actions.push(Action::Call(GroupCall {
+        replica_set: name.clone(),
+        instance,
+        command: GroupCommand::Status,
+        deadline_us: now_us + STATUS_TIMEOUT_US,
+    }));
+}
+
+/// The instance that another proxy's present claim promotes.
+fn awaited<'a>(tables: &'a Tables, name: &Bytes) -> Option<&'a Bytes> {
+    let set = tables.sets.get(name)?;
+    let claim = set.claim().filter(|_| set.takeover.is_none() && !set.has_unseen_claim())?;
+    let (fence, instance) = set.announced.as_ref()?;
+    let is_own = claim.record.holder == tables.config.name;
+    (*fence == claim.record.fence && !is_own).then_some(instance)
+}
+
+/// Number of proxies in contact, the holder left out, that come before this one.
+fn turn(tables: &Tables, name: &Bytes, claim: &KnownRecord, now_us: u64) -> u64 {
+    let own = rendezvous::weight(name, &tables.config.name);
+    let others = tables.members.iter().filter(|(other, member)| {
+        **other != claim.record.holder
+            && member.is_in_contact(now_us)
+            && rendezvous::weight(name, other) > own
+    });
+    others.count() as u64
+}
+
+/// An instance has reported its state: if it leads as announced, the replacement is done.
+pub fn answered(tables: &mut Tables, call: &GroupCall, status: InstanceStatus, now_us: u64) {
+    let name = &call.replica_set;
+    if awaited(tables, name) != Some(&call.instance) || status.role != ReplicationRole::Primary {
+        return;
+    }
+    let Some(claim) = tables.sets.get(name).and_then(|set| set.claim()) else { return };
+    let PromotionState::Claimed { term, .. } = claim.record.state else { return };
+    if status.term <= term {
+        return;
+    }
+    let state = PromotionState::Done { instance: call.instance.clone(), term: status.term };
+    let record = PromotionRecord { state, ..claim.record.clone() };
+    let revision = claim.revision;
+    records::apply(tables, name, record.clone(), revision, "the announced instance", now_us);
+    broadcast(tables, name, &[]);
+    if let Some(set) = tables.sets.get_mut(name) {
+        let is_writing = false;
+        set.unwritten = Some(UnwrittenRecord { record, revision, next_us: now_us, is_writing });
+    }
+    takeover_store::write_done(tables, name, now_us);
+}
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -4,8 +4,8 @@
 use super::super::{Change, Event, PeerMessage, StoreAnswer, StoreCall};
 use super::stops::{self, Stop};
 use super::{
-    detection, directory, heartbeats, mirror, records, registration, search, sharing, shutdown,
-    takeover_store, takeovers,
+    adoption, detection, directory, heartbeats, mirror, records, registration, search, sharing,
+    shutdown, takeover_store, takeovers,
 };
 use crate::traffic::Report;
 use crate::{GroupAnswer, GroupOutcome};
@@ -55,6 +55,9 @@
         PeerMessage::Primary { replica_set, instance, term } => {
             search::told(tables, &replica_set, &instance, term, "another proxy");
         }
+        PeerMessage::Promoting { replica_set, fence, instance } => {
+            adoption::announced(tables, &replica_set, fence, instance);
+        }
         PeerMessage::Instances { replica_set, entries } => {
             sharing::receive(tables, &replica_set, entries, now_us);
         }
@@ -92,6 +95,7 @@
             if let GroupOutcome::Status(status) = outcome {
                 search::answered(tables, &call, status, now_us);
                 takeovers::status(tables, &call, status, now_us);
+                adoption::answered(tables, &call, status, now_us);
             }
         }
         Report::Stopped => shutdown::finish(tables),
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -9,7 +9,7 @@
 use super::super::{
     Action, Change, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
 };
-use super::{candidates, claims, records, stops, takeover_store};
+use super::{adoption, candidates, claims, records, stops, takeover_store};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
 
 /// How long after it was sent a claim may lead to a promotion call. A successor waits it out.
@@ -34,6 +34,7 @@
     for name in names {
         succeed(tables, &name, now_us);
         takeover_store::write_done(tables, &name, now_us);
+        adoption::run(tables, &name, now_us);
         step(tables, &name, now_us);
     }
 }
@@ -172,6 +173,11 @@
         fence,
         received: status.received.to_string(),
     });
+    for member in tables.members.values() {
+        let message =
+            PeerMessage::Promoting { replica_set: name.clone(), fence, instance: instance.clone() };
+        tables.actions.push(Action::Send { address: member.address, message });
+    }
     tables.actions.push(Action::Promote {
         replica_set: name.clone(),
         instance,
--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -109,6 +109,26 @@
     assert_eq!(world.outcome.violations, Vec::<String>::new());
 }
 
+/// Guards against a new primary that nobody uses because the holder of the claim stands still after its
+/// promotion call (deploy/days/freeze_of_claimant.toml on jfc-mobile: 4.2 s).
+#[test]
+fn new_primary_is_used_although_the_holder_stands_still() {
+    for holder in 0..PROXIES {
+        let mut world = World::new(60 + holder as u64);
+        world.run(2_000 * MILLISECOND_US);
+        world.crash_instance(0);
+        world.run(50 * MILLISECOND_US);
+        world.freeze_proxy(holder, 5_000 * MILLISECOND_US);
+        world.run(2_500 * MILLISECOND_US);
+        let served = world.outcome.acknowledged;
+        world.run(1_000 * MILLISECOND_US);
+        assert!(world.outcome.acknowledged > served + 20, "{holder}: {:?}", world.outcome);
+        world.run(4_000 * MILLISECOND_US);
+        assert_eq!(world.outcome.promotions, 1, "holder {holder}");
+        assert_eq!(world.outcome.violations, Vec::<String>::new());
+    }
+}
+
 /// Guards against a claim that nobody takes over because the one whose turn it is holds it and lives:
 /// it is cut off from the store and from the instances.
 #[test]
