Put relays into the soak that delay, cut one way, silence and reset connections

Change: a loopback relay before each instance and between each proxy and the store, with five modes and a reset. A killed instance closes its relay's port, as a dead process does. Datagrams between proxies do not pass a relay: their address is in the proxies' records. Clocks are not part of it: only the start of a process reads the time of day, for its incarnation.

--- a/crates/daemon/tests/pooled/main.rs
+++ b/crates/daemon/tests/pooled/main.rs
@@ -1,5 +1,6 @@
 //! The real programs in the pooled mode, end to end against the platform's stand-ins.
 
+mod relay;
 mod soak;
 mod support;
 
--- a/crates/daemon/tests/pooled/soak.rs
+++ b/crates/daemon/tests/pooled/soak.rs
@@ -11,11 +11,13 @@
 use flamingorock_standin::jardinet::{Platform, StoreFault};
 use rustix::process::Signal;
 
+use super::relay::{Relay, RelayMode};
 use super::support::{Caller, Proxy, write_until_served};
 
 /// Seeds that every run of the tests plays.
 const SEEDS: std::ops::Range<u64> = 1..3;
 const PROXIES: usize = 3;
+const INSTANCES: usize = 3;
 const FAULTS: usize = 10;
 
 /// What callers have been told.
@@ -46,33 +48,117 @@
     (from.parse().expect("a number"), to.parse().expect("a number"))
 }
 
+/// The platform, the proxies, and the relays between them.
+struct Fleet {
+    platform: Platform,
+    proxies: Vec<Proxy>,
+    /// Before each instance.
+    instance_relays: Vec<Relay>,
+    /// Between each proxy and the store.
+    store_relays: Vec<Relay>,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let platform = Platform::start().expect("the stand-ins start");
+        let before = |index| Relay::start(platform.instance_address(index));
+        let instance_relays: Vec<Relay> = (0..INSTANCES).map(before).collect();
+        for (index, relay) in instance_relays.iter().enumerate() {
+            platform.publish_at(index, relay.address);
+        }
+        let store_relays: Vec<Relay> =
+            (0..PROXIES).map(|_| Relay::start(platform.store_address())).collect();
+        let start = |(index, relay): (usize, &Relay)| {
+            Proxy::start_with_store(index, &platform, relay.address)
+        };
+        let proxies = store_relays.iter().enumerate().map(start).collect();
+        Self { platform, proxies, instance_relays, store_relays }
+    }
+
+    /// Kills an instance. Its relay closes its port too, or a proxy would see an instance that accepts
+    /// connections and has no place for them.
+    fn kill_instance(&mut self, index: usize) {
+        self.platform.kill(index);
+        self.instance_relays[index].close();
+    }
+
+    fn fault(&mut self, random: &mut u64) {
+        let index = (next(random) % PROXIES as u64) as usize;
+        let proxy = &mut self.proxies[index];
+        match next(random) % 13 {
+            0 => self.kill_instance(self.platform.leader()),
+            1 => self.kill_instance(index),
+            2 => self.platform.set_store_fault(StoreFault::Busy),
+            3 => self.platform.set_store_fault(StoreFault::LosesAnswers),
+            4 => self.platform.revoke_leases(),
+            5 => proxy.signal(Signal::STOP),
+            6 => proxy.kill(),
+            7 => {
+                proxy.signal(Signal::HUP);
+                proxy.signal(Signal::CONT);
+            }
+            8 => self.instance_relays[index].set_mode(mode(random)),
+            9 => self.instance_relays[self.platform.leader()].set_mode(mode(random)),
+            10 => self.store_relays[index].set_mode(mode(random)),
+            11 => self.instance_relays[index].reset(),
+            _ => self.heal(),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.platform.set_store_fault(StoreFault::None);
+        for (index, relay) in self.instance_relays.iter().enumerate() {
+            self.platform.restart(index).expect("the instance starts");
+            relay.open();
+        }
+        for relay in self.instance_relays.iter().chain(&self.store_relays) {
+            relay.set_mode(RelayMode::Pass);
+        }
+        for proxy in &mut self.proxies {
+            proxy.signal(Signal::CONT);
+            if !proxy.is_running() {
+                proxy.spawn();
+            }
+        }
+    }
+}
+
+fn mode(random: &mut u64) -> RelayMode {
+    const MODES: [RelayMode; 5] = [
+        RelayMode::Pass,
+        RelayMode::Delay,
+        RelayMode::CutForth,
+        RelayMode::CutBack,
+        RelayMode::Silent,
+    ];
+    MODES[(next(random) % MODES.len() as u64) as usize]
+}
+
 fn play(seed: u64) -> Vec<String> {
-    let mut platform = Platform::start().expect("the stand-ins start");
-    let mut proxies: Vec<Proxy> =
-        (0..PROXIES).map(|index| Proxy::start(index, &platform)).collect();
-    proxies.iter().for_each(Proxy::wait_ready);
+    let mut fleet = Fleet::start();
+    fleet.proxies.iter().for_each(Proxy::wait_ready);
     let told = Arc::new(Mutex::new(Told::default()));
     let is_over = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..2 * PROXIES)
         .map(|index| {
-            let address = proxies[index % PROXIES].callers;
+            let address = fleet.proxies[index % PROXIES].callers;
             let (told, is_over) = (Arc::clone(&told), Arc::clone(&is_over));
             thread::spawn(move || call(index, address, &told, &is_over))
         })
         .collect();
     let mut random = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     for _ in 0..FAULTS {
-        fault(&mut random, &mut platform, &mut proxies);
+        fleet.fault(&mut random);
         thread::sleep(Duration::from_millis(100 + next(&mut random) % 900));
     }
-    heal(&mut platform, &mut proxies);
-    proxies.iter().for_each(Proxy::wait_ready);
-    write_until_served(proxies[0].callers, "strict", "last");
+    fleet.heal();
+    fleet.proxies.iter().for_each(Proxy::wait_ready);
+    write_until_served(fleet.proxies[0].callers, "strict", "last");
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
         let _ = caller.join();
     }
-    check(&lock(&told), &platform)
+    check(&lock(&told), &fleet.platform)
 }
 
 /// Xorshift, for the choice of faults.
@@ -83,37 +169,6 @@
     *random
 }
 
-fn fault(random: &mut u64, platform: &mut Platform, proxies: &mut [Proxy]) {
-    let proxy = (next(random) % PROXIES as u64) as usize;
-    match next(random) % 9 {
-        0 => platform.kill(platform.leader()),
-        1 => platform.kill((next(random) % 3) as usize),
-        2 => platform.set_store_fault(StoreFault::Busy),
-        3 => platform.set_store_fault(StoreFault::LosesAnswers),
-        4 => platform.revoke_leases(),
-        5 => proxies[proxy].signal(Signal::STOP),
-        6 => proxies[proxy].kill(),
-        7 => {
-            proxies[proxy].signal(Signal::HUP);
-            proxies[proxy].signal(Signal::CONT);
-        }
-        _ => heal(platform, proxies),
-    }
-}
-
-fn heal(platform: &mut Platform, proxies: &mut [Proxy]) {
-    platform.set_store_fault(StoreFault::None);
-    for index in 0..3 {
-        platform.restart(index).expect("the instance starts");
-    }
-    for proxy in proxies {
-        proxy.signal(Signal::CONT);
-        if !proxy.is_running() {
-            proxy.spawn();
-        }
-    }
-}
-
 /// A caller that writes and reads its own item until the run is over.
 fn call(index: usize, address: SocketAddr, told: &Mutex<Told>, is_over: &AtomicBool) {
     let mut number = 0;
--- a/crates/daemon/tests/pooled/support.rs
+++ b/crates/daemon/tests/pooled/support.rs
@@ -29,6 +29,11 @@
 
 impl Proxy {
     pub fn start(index: usize, platform: &Platform) -> Self {
+        Self::start_with_store(index, platform, platform.store_address())
+    }
+
+    /// Starts a proxy that reaches the store at another address than the store's own.
+    pub fn start_with_store(index: usize, platform: &Platform, store: SocketAddr) -> Self {
         let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let (callers, ready, metrics) =
             (address(free_port()), address(free_port()), address(free_port()));
@@ -39,8 +44,7 @@
         let text = format!(
             "node-name=edge-{index}\nzone=port-louis\nip=127.0.0.1\n\
              listen.frontend={callers}\nlisten.ready={ready}\nport-range={peers},{peers}\n\
-             platform.addr={}\ncloud-api.addr={}\ncontract-params.grace-s=6\nunknown.field=1\n",
-            platform.store_address(),
+             platform.addr={store}\ncloud-api.addr={}\ncontract-params.grace-s=6\nunknown.field=1\n",
             platform.promotion_address()
         );
         fs::write(&settings, text).expect("settings");
--- a/crates/standin/src/jardinet.rs
+++ b/crates/standin/src/jardinet.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Address of an instance.
+    #[must_use]
+    pub fn instance_address(&self, index: usize) -> SocketAddr {
+        self.addresses[index]
+    }
+
+    /// Lets the entry of an instance name another address, such as that of a relay before it.
+    pub fn publish_at(&self, index: usize, address: SocketAddr) {
+        write_entry(&self.store, index, address, self.leader());
+    }
+
     /// Address of the store.
     #[must_use]
     pub fn store_address(&self) -> SocketAddr {
