Add flamingoctl explain: a request's lines and the beliefs that led to them

Change: the command reads collected logs, shows the lines about an id, the changes of belief of the same process in the seconds before, and replacements that other processes carried out, ordered by time; exit code 1 with a reason if there is none. Test explain_shows_a_request_with_what_led_to_it.

--- a/crates/cli/src/arguments/command.rs
+++ b/crates/cli/src/arguments/command.rs
@@ -89,6 +89,17 @@
         #[command(flatten)]
         proxies: ProxyArguments,
     },
+    /// Prints what the collected logs of proxies in the pooled mode say about a request.
+    Explain {
+        /// Id of the request.
+        id: String,
+        /// Logs, one file a process.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// How long before the request's first line changes of belief are shown.
+        #[arg(long, value_name = "MILLISECONDS", default_value_t = 3_000)]
+        before_ms: u64,
+    },
     /// Prints a completion script for a shell.
     Completions {
         /// Shell.
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,8 +1,8 @@
 //! Running a command.
 
 use std::io::Write;
-use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::CommandFactory;
 use clap_complete::Shell;
@@ -11,7 +11,8 @@
 use crate::arguments::{Arguments, BurnFormat, Command, ProxyArguments};
 use crate::printer::Printer;
 use crate::{
-    ApplyRequest, ExitStatus, Failure, apply, burn_svg, check, get, history, plan, proxy_commands,
+    ApplyRequest, ExitStatus, Failure, LogFile, apply, burn_svg, check, explain, get, history,
+    plan, proxy_commands,
 };
 
 /// Runs a command and prints its report.
@@ -41,6 +42,10 @@
         Command::History { store } => {
             printer.print(store.client(limit_ms).and_then(|client| history(&client)))
         }
+        Command::Explain { id, files, before_ms } => {
+            let before = Duration::from_millis(*before_ms);
+            printer.print(read_logs(files).and_then(|logs| explain(id, &logs, before)))
+        }
         Command::Completions { shell } => printer.print_text(Ok(completions(*shell))),
         Command::Status { proxies }
         | Command::Drain { proxies, .. }
@@ -89,6 +94,20 @@
     })
 }
 
+/// Reads logs; bytes that are not text are replaced.
+fn read_logs(files: &[PathBuf]) -> Result<Vec<LogFile>, Failure> {
+    let read = |file: &PathBuf| {
+        let name = file.display().to_string();
+        match std::fs::read(file) {
+            Ok(bytes) => Ok(LogFile { name, text: String::from_utf8_lossy(&bytes).into_owned() }),
+            Err(error) => {
+                Err(Failure::Refused { reason: format!("{name}: the log cannot be read: {error}") })
+            }
+        }
+    };
+    files.iter().map(read).collect()
+}
+
 /// Name of the user who runs the command.
 fn user_name() -> String {
     std::env::var("USER").ok().filter(|name| !name.is_empty()).unwrap_or_else(|| "unknown".into())
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -167,6 +167,19 @@
     insta::assert_snapshot!(runs.join("\n\n"));
 }
 
+/// Guards against an engineer who finds the refusal of a request and not the replacement behind it, in
+/// the log of another host.
+#[test]
+fn explain_shows_a_request_with_what_led_to_it() {
+    let runs = [
+        run(&["explain", "cc04", "edge-1.log", "edge-2.log"], &[]),
+        run(&["--output", "json", "explain", "cc04", "edge-1.log", "--before-ms", "95"], &[]),
+        run(&["explain", "dd05", "edge-1.log", "edge-2.log"], &[]),
+        run(&["explain", "cc04", "missing.log"], &[]),
+    ];
+    insta::assert_snapshot!(runs.join("\n\n"));
+}
+
 /// Guards against a completion script that lacks the commands.
 #[test]
 fn completions_name_the_commands() {
