--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -9,8 +9,10 @@
 use crate::{ConnectionKey, ErrorCode, InstanceKey, ReplicaSetKey, SessionKey};
 
 /// Time for which an instance counts the connections of a host that has lost power. The whole fleet may
-/// have: until then each proxy takes one place at an instance, so that none is left without.
+/// have: until then each proxy takes a part of its share only, so that none is left without a place.
 const LINGER_US: u64 = 3_000_000;
+/// A proxy that has just started takes one in this many of its share: the dead may hold the others.
+const STARTING_PART: u32 = 3;
 /// Allowance for the distance between a caller's clock reading and this proxy's.
 const STALENESS_MARGIN_US: u64 = 50_000;
 
@@ -128,7 +130,7 @@
     let Some(instance) = tables.instances.get(key) else { return };
     let Some(set) = tables.replica_sets.get(instance.replica_set) else { return };
     let allowed = match now_us < tables.started_us + LINGER_US {
-        true => 1,
+        true => set.connections_share.div_ceil(STARTING_PART) as usize,
         false => set.connections_share.max(2) as usize,
     };
     if instance.connections.len() < allowed && tables.opening(instance) == 0 {
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use flamingorock_core::TransactionStatus::Idle;
+use flamingorock_core::TransactionStatus::{Idle, Open};
 use flamingorock_pool::ErrorCode;
 use flamingorock_pool::traffic::Event;
 use traffic_support::{
@@ -177,3 +177,24 @@
     }
     assert!(places(&world) > 1, "{}", world.transcript);
 }
+
+/// Guards against a proxy that starves at one connection after its start although an instance has places
+/// for many (trouble-2 of armut-mahzen: ten for each of five proxies).
+#[test]
+fn proxy_takes_a_third_of_its_share_after_its_start() {
+    let mut world = World::started_before(0, "proxy", 5, 3_600_000 * MILLISECOND_US);
+    let mut rules = configuration(1);
+    rules.replica_sets[0].connections_limit = 50;
+    world.publish_with(serving("a", 1), Arc::new(rules));
+    for _ in 0..8 {
+        let session = world.session(STRICT);
+        world.query(session, "BEGIN");
+        world.query(session, "WRITE 1 x");
+        world.connect_new(position(1, 10));
+        while world.runs_at("a") {
+            world.complete("a", Open, position(1, 10));
+        }
+    }
+    let places = world.opened.iter().filter(|row| row.instance == "a").count();
+    assert_eq!(places, 3, "{}", world.transcript);
+}
