--- a/crates/daemon/src/io_context.rs
+++ b/crates/daemon/src/io_context.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::net::{Deadlines, Scratch};
+use crate::poller::{Poller, Ready};
 
 /// What the socket tables of a thread share.
 #[derive(Debug)]
@@ -47,6 +48,22 @@
         }
     }
 
+    /// Blocks until a source is ready, a deadline is reached or a socket has more to deliver. Notes the
+    /// time and leaves what is ready in `ready`.
+    pub fn wait<T>(
+        &mut self,
+        poller: &mut Poller<T>,
+        deadlines: &[Option<u64>],
+        ready: &mut Vec<Ready>,
+    ) {
+        let unfinished = (!self.unfinished.is_empty()).then_some(0);
+        let own = [unfinished, self.deadlines.next_us()];
+        let deadline_us = own.iter().chain(deadlines).copied().flatten().min();
+        poller.wait(self.clock, deadline_us, ready);
+        self.now_us = self.clock.now_us();
+        ready.extend(self.unfinished.drain(..).map(Ready::from));
+    }
+
     /// Has the poll report both directions of a socket.
     pub fn register(&self, source: &mut impl Source, token: Token) -> std::io::Result<()> {
         self.registry.register(source, token, Interest::READABLE | Interest::WRITABLE)
--- a/crates/daemon/src/traffic/thread.rs
+++ b/crates/daemon/src/traffic/thread.rs
@@ -124,21 +124,13 @@
 
     /// Blocks until something is to be done.
     fn wait(&mut self) {
-        let busy = self.mail_left || !self.io.unfinished.is_empty();
-        let deadlines = [
-            busy.then_some(0),
-            self.machine.next_deadline_us(),
-            self.io.deadlines.next_us(),
-            self.retry_us,
-        ];
-        let deadline_us = deadlines.into_iter().flatten().min();
-        self.poller.wait(self.io.clock, deadline_us, &mut self.ready);
-        self.io.now_us = self.io.clock.now_us();
+        let deadlines =
+            [self.mail_left.then_some(0), self.machine.next_deadline_us(), self.retry_us];
+        self.io.wait(&mut self.poller, &deadlines, &mut self.ready);
     }
 
     fn take_events(&mut self) {
-        let mut ready = core::mem::take(&mut self.ready);
-        ready.extend(self.io.unfinished.drain(..).map(Ready::from));
+        let ready = core::mem::take(&mut self.ready);
         for &Ready { token, to_end } in &ready {
             self.io.scratch.to_end = to_end;
             match token {
