Replace a primary that turns work away while its replicas lag far behind

Ruled out: replicas that are not asked again (see the log lines of replica states), shorter waits. Change: a proxy whose set turns work away with all watched replicas behind for a second reports it; the replicas are asked, and if all lag by 5 s or more and one has received the last position, the primary is replaced as a planned change. A replica that is promoted has applied what it received, and the former primary goes on as a replica. If no candidate has received everything after 1.5 s, the former primary goes on without a promotion call, so that nothing acknowledged is lost. Not again within 15 s. The kind of a replacement is an enum now.

--- a/crates/pool/src/control.rs
+++ b/crates/pool/src/control.rs
@@ -28,6 +28,7 @@
 mod systems;
 mod tables;
 mod takeover;
+mod takeover_kind;
 
 pub use action::Action;
 pub use change::Change;
--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -7,6 +7,7 @@
 
 use super::PromotionRecord;
 use super::belief::Belief;
+use super::systems::Relief;
 use super::takeover::Takeover;
 use crate::InstanceEntry;
 
@@ -56,6 +57,8 @@
     pub unwritten: Option<UnwrittenRecord>,
     /// Fence of a claim and the instance that its holder promotes.
     pub announced: Option<(u64, Bytes)>,
+    /// What the replicas of a congested set say, while that is looked into.
+    pub relief: Option<Relief>,
     /// When instances are asked next whether they lead.
     pub search_us: u64,
     /// When the primary may be replaced at the earliest, so that proxies claim one after the other.
@@ -81,6 +84,7 @@
             takeover: None,
             unwritten: None,
             announced: None,
+            relief: None,
             search_us: 0,
             claim_us: None,
             takeover_us: ASSUMED_TAKEOVER_US,
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -13,6 +13,7 @@
 mod publishing;
 mod records;
 mod registration;
+mod relief;
 mod search;
 mod sharing;
 mod shutdown;
@@ -21,6 +22,7 @@
 mod takeovers;
 
 use super::tables::Tables;
+pub use relief::Relief;
 
 /// Longest time between two ticks.
 const TICK_US: u64 = 100_000;
--- a/crates/pool/src/control/systems/candidates.rs
+++ b/crates/pool/src/control/systems/candidates.rs
@@ -5,6 +5,7 @@
 use super::super::Action;
 use super::super::tables::Tables;
 use super::super::takeover::Takeover;
+use super::super::takeover_kind::TakeoverKind;
 use super::takeovers::{STATUS_TIMEOUT_US, may_ask};
 use crate::{GroupCall, GroupCommand, InstanceStatus};
 
@@ -34,12 +35,38 @@
     others.cloned().collect()
 }
 
+/// What is to be done with a set that nobody uses.
+pub enum Choice {
+    /// Too little is known, or no candidate has received enough.
+    Wait,
+    /// This candidate takes over.
+    Promote(Bytes, InstanceStatus),
+    /// The former primary goes on, because no candidate has received everything.
+    Keep(Bytes),
+}
+
 /// The candidate that has received most, once enough is known.
-pub fn choose(
+pub fn choose(tables: &Tables, name: &Bytes, takeover: &Takeover, now_us: u64) -> Choice {
+    let waited_us = now_us.saturating_sub(takeover.claimed_us);
+    let best = best(tables, name, takeover, waited_us);
+    let has_everything = best.as_ref().is_some_and(|(_, status)| {
+        takeover.last_position.is_none_or(|position| status.received >= position)
+    });
+    let may_wait = waited_us < CATCH_UP_US;
+    match (best, takeover.kind, &takeover.former) {
+        (Some((id, status)), ..) if has_everything => Choice::Promote(id, status),
+        (_, TakeoverKind::Relief, Some(former)) if !may_wait => Choice::Keep(former.clone()),
+        (Some((id, status)), TakeoverKind::Lost, _) => Choice::Promote(id, status),
+        (Some((id, status)), TakeoverKind::Leaving, _) if !may_wait => Choice::Promote(id, status),
+        _ => Choice::Wait,
+    }
+}
+
+fn best(
     tables: &Tables,
     name: &Bytes,
     takeover: &Takeover,
-    now_us: u64,
+    waited_us: u64,
 ) -> Option<(Bytes, InstanceStatus)> {
     let candidates = candidates(tables, name, takeover);
     let reported: Vec<&(Bytes, InstanceStatus)> =
@@ -49,15 +76,10 @@
     let best =
         reported.iter().max_by_key(|(id, status)| (status.received, !leaves(id), id.clone()))?;
     let is_complete = reported.len() == candidates.len();
-    let waited_us = now_us.saturating_sub(takeover.claimed_us);
     let needs = needed_reports(tables, name, candidates.len());
     if reported.len() < needs || !(is_complete || waited_us >= REPORTS_US) {
         return None;
     }
-    let has_everything = takeover.last_position.is_none_or(|position| best.1.received >= position);
-    if takeover.is_planned && !has_everything && waited_us < CATCH_UP_US {
-        return None;
-    }
     Some((best.0.clone(), best.1))
 }
 
--- a/crates/pool/src/control/systems/claims.rs
+++ b/crates/pool/src/control/systems/claims.rs
@@ -7,6 +7,7 @@
 use super::super::replica_set_state::KnownRecord;
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
+use super::super::takeover_kind::TakeoverKind;
 use super::super::{Change, Condition, PromotionRecord, PromotionState, StoreCall};
 use super::permits;
 use crate::rendezvous;
@@ -20,7 +21,7 @@
 pub fn consider(
     tables: &mut Tables,
     name: &Bytes,
-    is_planned: bool,
+    kind: TakeoverKind,
     reason: &'static str,
     now_us: u64,
 ) {
@@ -32,7 +33,7 @@
     let due_us = *set.claim_us.get_or_insert(now_us + turn * TURN_US);
     if now_us >= due_us {
         set.claim_us = None;
-        claim(tables, name, is_planned, reason, now_us);
+        claim(tables, name, kind, reason, now_us);
     }
 }
 
@@ -50,7 +51,7 @@
 pub fn claim(
     tables: &mut Tables,
     name: &Bytes,
-    is_planned: bool,
+    kind: TakeoverKind,
     reason: &'static str,
     now_us: u64,
 ) {
@@ -64,14 +65,14 @@
         fence,
         holder: tables.config.name.clone(),
         holder_incarnation: tables.config.incarnation,
-        state: PromotionState::Claimed { term, is_planned },
+        state: PromotionState::Claimed { term, is_planned: kind.is_planned() },
     };
     set.takeover = Some(Takeover {
         stage: Stage::Claiming,
         fence,
         revision: 0,
         claimed_us: now_us,
-        is_planned,
+        kind,
         term,
         former: set.primary().map(|(instance, _)| instance.clone()),
         stopped: Vec::new(),
--- a/crates/pool/src/control/systems/detection.rs
+++ b/crates/pool/src/control/systems/detection.rs
@@ -7,7 +7,8 @@
 use super::super::belief::Belief;
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, text};
-use super::claims;
+use super::super::takeover_kind::TakeoverKind;
+use super::{claims, relief};
 
 /// Time by which another proxy's sign of life of the primary must be younger than the loss here.
 const YOUNGER_US: u64 = 30_000;
@@ -57,7 +58,7 @@
     /// It stays, and this proxy does not reach it while others do.
     Elsewhere,
     /// It is replaced.
-    Replace { is_planned: bool, reason: &'static str },
+    Replace { kind: TakeoverKind, reason: &'static str },
 }
 
 pub fn run(tables: &mut Tables, now_us: u64) {
@@ -73,8 +74,8 @@
                     set.claim_us = None;
                 }
             }
-            Verdict::Replace { is_planned, reason } => {
-                claims::consider(tables, &name, is_planned, reason, now_us);
+            Verdict::Replace { kind, reason } => {
+                claims::consider(tables, &name, kind, reason, now_us);
             }
         }
     }
@@ -88,11 +89,14 @@
     match &set.belief {
         Belief::Searching { since_us } if now_us < since_us + UNKNOWN_US => Verdict::Keep,
         Belief::Searching { .. } => {
-            Verdict::Replace { is_planned: false, reason: "no instance leads" }
+            Verdict::Replace { kind: TakeoverKind::Lost, reason: "no instance leads" }
         }
         Belief::Leading { instance, .. } => match set.lost_since_us {
             Some(since_us) => judge_lost(tables, name, since_us, now_us),
-            None => judge_leaving(set, instance, now_us),
+            None => match judge_leaving(set, instance, now_us) {
+                Verdict::Keep => judge_relief(tables, set, now_us),
+                verdict => verdict,
+            },
         },
     }
 }
@@ -111,7 +115,17 @@
         None => false,
     };
     match is_leaving && has_successor {
-        true => Verdict::Replace { is_planned: true, reason: "the primary is leaving" },
+        true => Verdict::Replace { kind: TakeoverKind::Leaving, reason: "the primary is leaving" },
+        false => Verdict::Keep,
+    }
+}
+
+/// A primary that works is replaced if it serves alone because its replicas lag far behind.
+fn judge_relief(tables: &Tables, set: &ReplicaSetState, now_us: u64) -> Verdict {
+    match relief::is_due(set, now_us) && !tables.mirror.is_lost {
+        true => {
+            Verdict::Replace { kind: TakeoverKind::Relief, reason: "its replicas lag far behind" }
+        }
         false => Verdict::Keep,
     }
 }
@@ -132,7 +146,7 @@
             return Verdict::Keep;
         }
     }
-    Verdict::Replace { is_planned: false, reason: "no proxy reaches the primary" }
+    Verdict::Replace { kind: TakeoverKind::Lost, reason: "no proxy reaches the primary" }
 }
 
 /// Time within which another proxy answers the question about a lost primary.
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -4,8 +4,8 @@
 use super::super::{Change, Event, PeerMessage, StoreAnswer, StoreCall};
 use super::stops::{self, Stop};
 use super::{
-    adoption, detection, directory, heartbeats, mirror, records, registration, search, sharing,
-    shutdown, takeover_store, takeovers,
+    adoption, detection, directory, heartbeats, mirror, records, registration, relief, search,
+    sharing, shutdown, takeover_store, takeovers,
 };
 use crate::traffic::Report;
 use crate::{GroupAnswer, GroupOutcome};
@@ -91,11 +91,15 @@
                 failure_permille,
             });
         }
+        Report::ReadsAtPrimary { replica_set, term } => {
+            relief::reported(tables, &replica_set, term, now_us);
+        }
         Report::GroupAnswer(GroupAnswer { call, outcome }) => {
             if let GroupOutcome::Status(status) = outcome {
                 search::answered(tables, &call, status, now_us);
                 takeovers::status(tables, &call, status, now_us);
                 adoption::answered(tables, &call, status, now_us);
+                relief::answered(tables, &call, status, now_us);
             }
         }
         Report::Stopped => shutdown::finish(tables),
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -53,6 +53,7 @@
         }
     }
     set.claim_us = None;
+    set.relief = None;
     set.record = Some(KnownRecord { record, revision, seen_us: now_us });
     tables.is_changed = true;
     tables.is_urgent = true;
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -6,9 +6,11 @@
 use super::super::replica_set_state::{ReplicaSetState, UnwrittenRecord};
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
+use super::super::takeover_kind::TakeoverKind;
 use super::super::{
     Action, Change, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
 };
+use super::candidates::Choice;
 use super::{adoption, candidates, claims, records, stops, takeover_store};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
 
@@ -57,7 +59,13 @@
     };
     let limit_us = CLAIM_VALID_US + PROMOTE_TIMEOUT_US + MARGIN_US;
     if is_restarted || age_us > limit_us {
-        claims::consider(tables, name, false, "the former claim was not finished", now_us);
+        claims::consider(
+            tables,
+            name,
+            TakeoverKind::Lost,
+            "the former claim was not finished",
+            now_us,
+        );
     }
 }
 
@@ -139,7 +147,7 @@
     };
     if now_us > takeover.claimed_us + CLAIM_VALID_US {
         drop_claim(tables, name, "the claim has become too old");
-        return claims::claim(tables, name, takeover.is_planned, "the claim expired", now_us);
+        return claims::claim(tables, name, takeover.kind, "the claim expired", now_us);
     }
     if !stops::have_all_stopped(tables, name, &takeover, now_us) {
         if now_us >= takeover.ask_us {
@@ -149,8 +157,9 @@
         return;
     }
     match candidates::choose(tables, name, &takeover, now_us) {
-        Some((instance, status)) => promote(tables, name, instance, status, now_us),
-        None => candidates::ask(tables, name, &takeover, now_us),
+        Choice::Promote(instance, status) => promote(tables, name, instance, status, now_us),
+        Choice::Wait => candidates::ask(tables, name, &takeover, now_us),
+        Choice::Keep(former) => finish(tables, name, former, takeover.term, now_us),
     }
 }
 
@@ -237,15 +246,15 @@
 
 /// Asks the promoted instance until it leads.
 fn settle(tables: &mut Tables, name: &Bytes, instance: &Bytes, since_us: u64, now_us: u64) {
-    let Some(is_planned) = with(tables, name, |_, takeover| {
+    let Some(kind) = with(tables, name, |_, takeover| {
         takeover.next_us = now_us + POLL_US;
-        takeover.is_planned
+        takeover.kind
     }) else {
         return;
     };
     if now_us > since_us + SETTLE_US {
         drop_claim(tables, name, "the promoted instance does not lead");
-        return claims::claim(tables, name, is_planned, "the promotion had no effect", now_us);
+        return claims::claim(tables, name, kind, "the promotion had no effect", now_us);
     }
     if !may_ask(tables, name, now_us) {
         return;
@@ -258,7 +267,7 @@
     }));
 }
 
-/// The promoted instance leads. Everybody may use it at once: the record in the store is still this
+/// The promoted instance leads, or the former one goes on without a promotion call. Everybody may use it at once: the record in the store is still this
 /// claim, and whoever claims next must wait until nobody uses the new primary. The store learns of it
 /// as soon as it takes the write.
 fn finish(tables: &mut Tables, name: &Bytes, instance: Bytes, term: Term, now_us: u64) {
@@ -266,7 +275,7 @@
         (takeover.fence, takeover.revision, takeover.former.clone())
     });
     let Some((fence, revision, former)) = done else { return };
-    if let Some(former) = former {
+    if let Some(former) = former.filter(|former| *former != instance) {
         step_down(tables, name, former, term, now_us);
     }
     let record = PromotionRecord {
--- a/crates/pool/src/control/takeover.rs
+++ b/crates/pool/src/control/takeover.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use flamingorock_core::{Position, Term};
 
+use super::takeover_kind::TakeoverKind;
 use crate::InstanceStatus;
 
 /// Step of a replacement.
@@ -31,7 +32,7 @@
     pub revision: u64,
     /// When the claim was sent; it may be acted on for a bounded time from then.
     pub claimed_us: u64,
-    pub is_planned: bool,
+    pub kind: TakeoverKind,
     /// Term that is replaced.
     pub term: Term,
     /// Primary that is replaced.
--- a/crates/pool/src/instance_status.rs
+++ b/crates/pool/src/instance_status.rs
@@ -21,4 +21,6 @@
     pub term: Term,
     /// Last position that it has received, applied or not.
     pub received: Position,
+    /// Time by which what it has applied is behind the primary.
+    pub lag_ms: u64,
 }
--- a/crates/pool/src/traffic.rs
+++ b/crates/pool/src/traffic.rs
@@ -25,6 +25,7 @@
 mod systems;
 mod tables;
 mod traffic_config;
+mod turned_away;
 
 pub use action::{Action, Command, Decision, DecisionKind, Reply, ReplyOutcome};
 pub use answer::{Answer, AnswerOutcome};
--- a/crates/pool/src/traffic/replica_set.rs
+++ b/crates/pool/src/traffic/replica_set.rs
@@ -4,6 +4,7 @@
 use flamingorock_core::{Position, Term};
 
 use super::position_history::PositionHistory;
+use super::turned_away::TurnedAway;
 use crate::{InstanceKey, SessionKey};
 
 /// Whether statements may be sent to the primary.
@@ -39,6 +40,10 @@
     /// Idle connections that it keeps open at one instance, 0 if the instances are too crowded for one
     /// of each proxy.
     pub connections_kept: u32,
+    /// What its congested primary turns away.
+    pub turned_away: TurnedAway,
+    /// Last report that the primary serves all reads.
+    pub relief_us: u64,
     /// Sessions whose request waits for a connection.
     pub waiting: Vec<SessionKey>,
     /// Largest age of what a read of the set may miss, over its databases.
--- a/crates/pool/src/traffic/report.rs
+++ b/crates/pool/src/traffic/report.rs
@@ -58,6 +58,13 @@
         /// Statements that fail there, in thousandths.
         failure_permille: u32,
     },
+    /// The primary is congested and serves all reads, because no replica is fresh enough.
+    ReadsAtPrimary {
+        /// The replica set.
+        replica_set: Bytes,
+        /// Term of the primary.
+        term: Term,
+    },
     /// A call has ended.
     GroupAnswer(GroupAnswer),
     /// The last session has ended after [`Event::Stop`](super::Event::Stop).
--- a/crates/pool/src/traffic/systems.rs
+++ b/crates/pool/src/traffic/systems.rs
@@ -14,6 +14,7 @@
 mod primary_choice;
 mod quiescence;
 mod refusals;
+mod relief;
 mod replica_choice;
 mod replica_watch;
 mod sending;
--- a/crates/pool/src/traffic/systems/answers.rs
+++ b/crates/pool/src/traffic/systems/answers.rs
@@ -107,6 +107,10 @@
     let Some(row) = tables.instances.get_mut(instance) else { return };
     match answer.outcome.error() {
         None => {
+            let set = tables.replica_sets.get_mut(row.replica_set);
+            if let Some(set) = set.filter(|set| set.primary == Some(instance)) {
+                set.turned_away.note_answered();
+            }
             row.congestion.record(now_us.saturating_sub(sent_us), now_us);
             row.record_failure(false);
         }
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -13,6 +13,7 @@
 use super::super::replica_set::{PrimaryState, ReplicaSet};
 use super::super::session::Transaction;
 use super::super::tables::{Due, Tables};
+use super::super::turned_away::TurnedAway;
 use super::{connections, ending, losses, sessions};
 use crate::{
     ErrorCode, InstanceKey, InstanceView, PoolView, PrimaryView, ReplicaSetKey, ReplicaSetView,
@@ -54,6 +55,8 @@
         connections_limit: 1,
         connections_share: 1,
         connections_kept: 1,
+        turned_away: TurnedAway::default(),
+        relief_us: 0,
         waiting: Vec::new(),
         stale_read_us: 0,
         staleness_limit_us: 0,
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -52,6 +52,7 @@
                 open_if_allowed(tables, instance, now_us);
             }
             Place::Refuse { retry_after_ms, reason } => {
+                note_refusal(tables, key, reason);
                 refuse(tables, session, retry_after_ms, reason, now_us);
             }
         }
@@ -63,6 +64,13 @@
     }
 }
 
+fn note_refusal(tables: &mut Tables, key: ReplicaSetKey, reason: &'static str) {
+    let Some(set) = tables.replica_sets.get_mut(key) else { return };
+    if reason == primary_choice::CONGESTED {
+        set.turned_away.note_refused();
+    }
+}
+
 /// Answer time of a congested primary. What would be answered after its target otherwise takes the
 /// place of what is still in time, until everything is late.
 fn queueing_us(tables: &Tables, key: ReplicaSetKey) -> u64 {
--- a/crates/pool/src/traffic/systems/primary_choice.rs
+++ b/crates/pool/src/traffic/systems/primary_choice.rs
@@ -12,6 +12,8 @@
 const ELSEWHERE_RETRY_MS: u32 = 10;
 /// Rank from which work makes way at a congested primary.
 const YIELDING_RANK: u8 = 2;
+/// Reason of a refusal for work that makes way.
+pub const CONGESTED: &str = "the primary is congested with more urgent work";
 /// Time after which callers may try again whose work made way.
 const CONGESTED_RETRY_MS: u32 = 500;
 
@@ -49,10 +51,7 @@
     match yielding(tables, key, request, now_us) {
         Yield::No => at_instance(tables, key, session, request, now_us),
         Yield::Wait => Place::Wait,
-        Yield::Refuse => Place::Refuse {
-            retry_after_ms: CONGESTED_RETRY_MS,
-            reason: "the primary is congested with more urgent work",
-        },
+        Yield::Refuse => Place::Refuse { retry_after_ms: CONGESTED_RETRY_MS, reason: CONGESTED },
     }
 }
 
--- a/crates/pool/src/traffic/systems/upkeep.rs
+++ b/crates/pool/src/traffic/systems/upkeep.rs
@@ -7,7 +7,7 @@
 use super::super::tables::{Due, Tables};
 use super::super::{Action, Command, Observation};
 use super::keeping::{self, Keeping};
-use super::{connections, losses, replica_watch};
+use super::{connections, losses, relief, replica_watch};
 use crate::{ConnectionKey, InstanceKey};
 
 /// Interval of the upkeep.
@@ -35,6 +35,7 @@
         keep(tables, key, now_us);
         replica_watch::observe(tables, key, now_us);
     }
+    relief::run(tables, now_us);
 }
 
 fn keep(tables: &mut Tables, key: InstanceKey, now_us: u64) {
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use flamingorock_core::Term;
+use flamingorock_core::{Lsn, Position, Term};
 use flamingorock_pool::control::{
     Action, Control, ControlConfig, Event, Heartbeat, MemberRecord, PeerMessage, PromotionRecord,
     PromotionState, StoreAnswer, StoreCall, StoreContent, StoreItem, StoreKey, StoreOutcome,
 };
+use flamingorock_pool::traffic::Report;
 use flamingorock_pool::{
-    Configuration, InstanceEntry, Permit, PoolView, PrimaryView, ReplicaSetRule,
+    Configuration, GroupAnswer, GroupOutcome, InstanceEntry, InstanceStatus, Permit, PoolView,
+    PrimaryView, ReplicaSetRule, ReplicationRole,
 };
 
 const MILLISECOND_US: u64 = 1_000;
@@ -70,6 +72,10 @@
         self.control.push(Event::Store(Box::new(answer)));
     }
 
+    fn report(&mut self, report: Report) {
+        self.control.push(Event::Report(report));
+    }
+
     /// Ticks and returns the messages to other proxies.
     fn messages(&mut self) -> Vec<PeerMessage> {
         self.control.tick(self.now_us);
@@ -184,6 +190,107 @@
     assert_eq!(view.replica_sets[0].primary, expected);
 }
 
+/// A set whose primary is congested, and what its two replicas say.
+struct Congested {
+    world: World,
+    lag_ms: u64,
+    received: u64,
+}
+
+impl Congested {
+    const LAST: u64 = 50;
+
+    fn new(lag_ms: u64, received: u64) -> Self {
+        let mut world = World::new();
+        let state = PromotionState::Done { instance: bytes("a"), term: Term(1) };
+        let record =
+            PromotionRecord { fence: 1, holder: bytes("proxy-9"), holder_incarnation: 4, state };
+        let key = StoreKey::Promotion(bytes("set"));
+        let promotion = StoreItem { key, revision: 9, content: StoreContent::Promotion(record) };
+        world.list(vec![instance("a"), instance("b"), instance("c"), promotion]);
+        let watch = world.mirror_calls().remove(0);
+        // Past the rest after the last promotion, with the store in contact.
+        world.now_us = 20_000 * MILLISECOND_US;
+        world.answer(watch, StoreOutcome::Changes { items: Vec::new(), as_of: 41 });
+        world.report(Report::PrimaryHeard {
+            replica_set: bytes("set"),
+            instance: bytes("a"),
+            at_us: world.now_us,
+            position: Some(Position::new(Term(1), Lsn(Self::LAST))),
+        });
+        world.report(Report::ReadsAtPrimary { replica_set: bytes("set"), term: Term(1) });
+        Self { world, lag_ms, received }
+    }
+
+    /// Runs for a time. Questions to instances are answered, and the store takes every write. Returns
+    /// the records that were written and the instances that were promoted.
+    fn run(&mut self, span_ms: u64) -> Vec<String> {
+        let mut told = Vec::new();
+        for _ in 0..span_ms / 10 {
+            self.world.now_us += 10 * MILLISECOND_US;
+            self.world.control.tick(self.world.now_us);
+            let mut actions = Vec::new();
+            self.world.control.take_actions(&mut actions);
+            for action in actions {
+                self.perform(action, &mut told);
+            }
+        }
+        told
+    }
+
+    fn perform(&mut self, action: Action, told: &mut Vec<String>) {
+        match action {
+            Action::Call(call) => {
+                let status = InstanceStatus {
+                    role: ReplicationRole::Replica,
+                    term: Term(1),
+                    received: Position::new(Term(1), Lsn(self.received)),
+                    lag_ms: self.lag_ms,
+                };
+                let answer = GroupAnswer { call, outcome: GroupOutcome::Status(status) };
+                self.world.report(Report::GroupAnswer(answer));
+            }
+            Action::Store { call, .. } => {
+                if let StoreCall::WritePromotion { record, .. } = &call {
+                    told.push(format!("{} {:?}", record.fence, record.state));
+                    self.world.answer(call, StoreOutcome::Written { revision: 60 });
+                }
+            }
+            Action::Publish(view) => {
+                if matches!(view.replica_sets[0].primary, PrimaryView::Held { .. }) {
+                    self.world.report(Report::PrimaryQuiet {
+                        replica_set: bytes("set"),
+                        term: Term(1),
+                        position: Some(Position::new(Term(1), Lsn(Self::LAST))),
+                    });
+                }
+            }
+            Action::Promote { instance, .. } => told.push(format!("promote {instance:?}")),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a primary that serves alone beside replicas that have received everything and lag by
+/// many seconds, and against a replacement for a lag that passes by itself.
+#[test]
+fn primary_is_replaced_if_its_replicas_lag_far_behind() {
+    let far = Congested::new(20_000, Congested::LAST).run(300);
+    let short = Congested::new(1_000, Congested::LAST).run(300);
+    insta::assert_snapshot!(format!("20 s: {far:#?}\n1 s: {short:#?}"));
+}
+
+/// Guards against acknowledged writes that are rolled back for the sake of a faster set: replicas that
+/// have not received everything are not promoted, and the former primary goes on.
+#[test]
+fn congested_primary_goes_on_if_its_replicas_stop_receiving() {
+    let mut congested = Congested::new(20_000, Congested::LAST);
+    let mut told = congested.run(20);
+    congested.received = Congested::LAST - 1;
+    told.extend(congested.run(2_000));
+    insta::assert_snapshot!(format!("{told:#?}"));
+}
+
 /// Guards against a start of a large fleet in which each record ends the watch of every proxy (14
 /// watches a proxy in the first five seconds of jfc-mobile-grown).
 #[test]
--- a/crates/pool/tests/fleet/instance.rs
+++ b/crates/pool/tests/fleet/instance.rs
@@ -39,6 +39,7 @@
             role: if self.leads { ReplicationRole::Primary } else { ReplicationRole::Replica },
             term: Term(self.term),
             received: self.position(),
+            lag_ms: 0,
         }
     }
 }
--- a/crates/pool/tests/overload.rs
+++ b/crates/pool/tests/overload.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use flamingorock_core::TransactionStatus::Idle;
-use flamingorock_pool::traffic::Command;
+use flamingorock_pool::traffic::{Command, Report};
 use flamingorock_pool::{ConnectionKey, SessionKey};
 use traffic_support::{MILLISECOND_US, OWN, STALE, World, position};
 
@@ -39,6 +39,10 @@
     urgent: Tally,
     other: Tally,
     now_ms: u64,
+    /// Number of the primary's last position. The replicas stay at 10.
+    position: u64,
+    /// Whether each statement advances it.
+    advances: bool,
 }
 
 impl Flood {
@@ -51,6 +55,8 @@
             urgent: Tally::default(),
             other: Tally::default(),
             now_ms: 0,
+            position: 10,
+            advances: false,
         }
     }
 
@@ -106,7 +112,9 @@
         self.instance.slots = busy;
         for (_, index, connection) in done {
             self.queued.retain(|entry| *entry != (index, connection));
-            let replies = self.worlds[index].complete_on(connection, Idle, position(1, 10));
+            self.position += u64::from(self.advances);
+            let at = position(1, self.position);
+            let replies = self.worlds[index].complete_on(connection, Idle, at);
             self.count(index, &replies);
         }
         while self.instance.slots.len() < SLOTS {
@@ -142,3 +150,18 @@
     assert!(percent >= 90, "{percent} % of the second rank in time");
     assert!(flood.other.in_time > 0, "the third rank is starved");
 }
+
+/// Guards against a set whose primary turns work away for as long as its replicas lag, while nobody is
+/// told (scale-1 of armut-mahzen-grown), and against reports while the replicas are fresh.
+#[test]
+fn congested_primary_of_lagging_replicas_is_reported() {
+    let is_relief = |report: &Report| matches!(report, Report::ReadsAtPrimary { .. });
+    for (advances, expected) in [(false, false), (true, true)] {
+        let mut flood = Flood::new();
+        flood.run(3_000, 125, None);
+        flood.advances = advances;
+        flood.run(6_000, 125, Some(100));
+        let reported = flood.worlds.iter().any(|world| world.reports.iter().any(is_relief));
+        assert_eq!(reported, expected, "replicas lag: {advances}");
+    }
+}
