Refuse at once what the queue for the primary outlasts

The primary itself did not look congested: each proxy runs few statements there and queues the rest. Ruled out: pinned connections (none idle in a transaction when statements timed out) and opening ones. Change: a statement that waits for room is refused when the rounds before it, at the present answer time, take longer than it has, with half of that time to come back. Test statement_is_refused_at_once_if_the_queue_outlasts_its_timeout: all wait for 0.8 s before.

--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -28,6 +28,8 @@
     On { connection: ConnectionKey, min_position: Option<Position> },
     /// Nowhere yet.
     Wait,
+    /// Nowhere before others at the primary end.
+    WaitForRoom,
     /// Nowhere yet; one more connection to an instance would help.
     WaitForConnection(InstanceKey),
     /// Nowhere before its timeout.
@@ -40,6 +42,7 @@
     let answered_us = now_us + queueing_us(tables, key);
     waiting.sort_by_key(|session| order(tables, *session, answered_us));
     let mut left = Vec::with_capacity(waiting.len());
+    let mut ahead = 0;
     for session in waiting {
         match place(tables, key, session, now_us) {
             Place::On { connection, min_position } => {
@@ -47,6 +50,16 @@
                 sending::start_on(tables, session, connection, now_us);
             }
             Place::Wait => left.push(session),
+            Place::WaitForRoom => match queue_outlasts(tables, key, session, ahead, now_us) {
+                None => {
+                    ahead += 1;
+                    left.push(session);
+                }
+                Some(retry_after_ms) => {
+                    let reason = "the queue for the primary is longer than the timeout";
+                    refuse(tables, session, retry_after_ms, reason, now_us);
+                }
+            },
             Place::WaitForConnection(instance) => {
                 left.push(session);
                 open_if_allowed(tables, instance, now_us);
@@ -64,6 +77,25 @@
     }
 }
 
+/// When to try again, if the statements that wait before a request for the primary take longer than the
+/// request has. Only this proxy's queue is known; the answer times show what the others add.
+fn queue_outlasts(
+    tables: &Tables,
+    key: ReplicaSetKey,
+    session: SessionKey,
+    ahead: u64,
+    now_us: u64,
+) -> Option<u32> {
+    let primary = tables.replica_sets.get(key).and_then(|set| set.primary);
+    let instance = primary.and_then(|key| tables.instances.get(key))?;
+    let request = request(tables, session)?;
+    let at_a_time = u64::from(primary_choice::running_limit(tables, instance, request.rank));
+    let rounds = ahead / at_a_time + 1;
+    let wait_us = rounds * instance.congestion.answer_us();
+    let is_late = now_us + wait_us > request.deadline_us;
+    is_late.then(|| primary_choice::milliseconds(wait_us / 2))
+}
+
 fn note_refusal(tables: &mut Tables, key: ReplicaSetKey, reason: &'static str) {
     let Some(set) = tables.replica_sets.get_mut(key) else { return };
     if reason == primary_choice::CONGESTED {
--- a/crates/pool/src/traffic/systems/primary_choice.rs
+++ b/crates/pool/src/traffic/systems/primary_choice.rs
@@ -92,7 +92,7 @@
     }
 }
 
-fn milliseconds(span_us: u64) -> u32 {
+pub fn milliseconds(span_us: u64) -> u32 {
     u32::try_from(span_us.div_ceil(1000)).unwrap_or(u32::MAX)
 }
 
@@ -105,11 +105,12 @@
     now_us: u64,
 ) -> Place {
     let Some(instance) = tables.instances.get(key) else { return Place::Wait };
-    if now_us < instance.refusing_until_us
-        || tables.running(instance) >= running_limit(tables, instance, request.rank)
-    {
+    if now_us < instance.refusing_until_us {
         return Place::Wait;
     }
+    if tables.running(instance) >= running_limit(tables, instance, request.rank) {
+        return Place::WaitForRoom;
+    }
     match tables.idle_connection(key, &session.values) {
         Some(connection) => Place::On { connection, min_position: None },
         None if instance.is_lost => Place::Wait,
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -198,3 +198,24 @@
     let places = world.opened.iter().filter(|row| row.instance == "a").count();
     assert_eq!(places, 3, "{}", world.transcript);
 }
+
+/// Guards against statements that wait for their timeout behind a queue that is longer than it (inc-8b76
+/// on jfc-mobile: 750 refusals after 0.8 s each).
+#[test]
+fn statement_is_refused_at_once_if_the_queue_outlasts_its_timeout() {
+    const ANSWER_MS: u64 = 100;
+    let mut world = World::new();
+    let first = world.session(OWN);
+    for number in 0..5 {
+        world.query(first, "WRITE 1 x");
+        world.advance(ANSWER_MS * MILLISECOND_US);
+        world.answer_probes(position(1, 10));
+        world.complete("a", Idle, position(1, 11 + number));
+    }
+    world.transcript.clear();
+    for _ in 0..12 {
+        let session = world.session(OWN);
+        world.query(session, "WRITE 1 x");
+    }
+    insta::assert_snapshot!(world.replies());
+}
