--- /dev/null
+++ b/crates/pool/tests/fleet/world/callers.rs
@@ -0,0 +1,78 @@
+//! Callers, and the checks of what they are told.
+
+use super::*;
+
+impl World {
+    /// A strict read must see every commit that was acknowledged before it was sent.
+    pub(super) fn check_read(&mut self, instance: usize, sent_us: u64) {
+        let log = &self.instances[instance].log;
+        let missing = self
+            .acknowledged
+            .iter()
+            .find(|(at_us, commit)| *at_us < sent_us && !log.contains(commit));
+        if let Some((at_us, commit)) = missing {
+            // The answer may still be discarded; it counts only if it is delivered.
+            let line = format!(
+                "{}: a read at i{instance} lacks {commit:?}, acknowledged at {at_us}",
+                self.now_us
+            );
+            self.pending_stale.push((self.now_us, line));
+        }
+    }
+
+    pub(super) fn ask(&mut self, index: usize, session: SessionKey) {
+        let is_write = self.random.chance(40);
+        let text = if is_write { "WRITE 1 x" } else { "READ 1" };
+        let statement = if is_write { Statement::Write } else { Statement::Read };
+        let query = Query { id: bytes("id"), text: bytes(text), statement };
+        let proxy = &mut self.proxies[index];
+        proxy.traffic.push(Event::Query { session, query });
+        self.tick(index);
+    }
+
+    pub(super) fn replied(&mut self, index: usize, session: SessionKey, outcome: &ReplyOutcome) {
+        let life = self.proxies[index].life;
+        if let ReplyOutcome::Complete { signature: Some(signature) } = outcome {
+            let id = core::str::from_utf8(signature).ok().and_then(|text| text.parse().ok());
+            match id {
+                Some(id) => {
+                    self.outcome.by_proxy[index] += 1;
+                    self.acknowledge(id);
+                }
+                None => self.check_delivered_read(),
+            }
+        }
+        let delay_us = THINK_US + self.random.below(THINK_US);
+        self.schedule(delay_us, Due::Think { proxy: index, life, session });
+    }
+
+    pub(super) fn acknowledge(&mut self, id: u64) {
+        self.outcome.acknowledged += 1;
+        if self.made_by_leader.get(&id) == Some(&false) {
+            let line =
+                format!("{}: commit {id} of a superseded primary was acknowledged", self.now_us);
+            self.outcome.violations.push(line);
+        }
+        let commit = self
+            .instances
+            .iter()
+            .flat_map(|row| row.log.iter())
+            .find(|commit| commit.id == id)
+            .copied();
+        if let Some(commit) = commit
+            && self.instances[self.leader].log.contains(&commit)
+        {
+            self.acknowledged.push((self.now_us, commit));
+        }
+    }
+
+    /// A read that lacked a commit ran less than one latency and one tick ago, and is delivered now.
+    pub(super) fn check_delivered_read(&mut self) {
+        let now_us = self.now_us;
+        let found = self.pending_stale.iter().position(|(ran_us, _)| now_us == ran_us + LATENCY_US);
+        if let Some(found) = found {
+            let (_, line) = self.pending_stale.remove(found);
+            self.outcome.violations.push(line);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/fleet/world/instances.rs
@@ -0,0 +1,146 @@
+//! What instances do with the commands of proxies, replication and promotions.
+
+use super::*;
+
+impl World {
+    pub(super) fn connect(
+        &mut self,
+        index: usize,
+        life: u64,
+        connection: ConnectionKey,
+        instance: usize,
+    ) {
+        let is_cut = self.cut_instances.get(&(index, instance)).copied().unwrap_or(false);
+        if is_cut {
+            return;
+        }
+        let event = match self.instances[instance].is_up {
+            true => Event::Connected { connection },
+            false => {
+                self.proxies[index].connections.remove(&connection);
+                Event::ConnectionLost { connection }
+            }
+        };
+        let due = Due::ToTraffic { proxy: index, life, event: Box::new(event) };
+        self.schedule(0, due);
+    }
+
+    pub(super) fn run_command(
+        &mut self,
+        index: usize,
+        life: u64,
+        connection: ConnectionKey,
+        instance: usize,
+        command: &Command,
+        sent_us: u64,
+    ) {
+        if !self.is_reachable(index, instance) {
+            return;
+        }
+        let event = match command {
+            Command::Start { .. } => Event::ConnectionStarted {
+                connection,
+                position: Some(self.instances[instance].position()),
+            },
+            _ => Event::Answer { connection, answer: self.execute(instance, command, sent_us) },
+        };
+        let due = Due::ToTraffic { proxy: index, life, event: Box::new(event) };
+        self.schedule(LATENCY_US, due);
+    }
+
+    pub(super) fn execute(&mut self, instance: usize, command: &Command, sent_us: u64) -> Answer {
+        let mut outcome = AnswerOutcome::Complete { signature: bytes("s") };
+        match command {
+            Command::Forward { text, min_position, .. } => {
+                let is_write = text.starts_with(b"WRITE");
+                let row = &self.instances[instance];
+                if is_write && !row.leads {
+                    outcome = refusal(ErrorCode::ReadOnly);
+                } else if min_position.is_some_and(|position| !row.has(position)) {
+                    outcome = refusal(ErrorCode::Lagging);
+                } else if is_write {
+                    let id = self.commit(instance);
+                    outcome = AnswerOutcome::Complete { signature: bytes(&id.to_string()) };
+                } else {
+                    self.check_read(instance, sent_us);
+                }
+            }
+            Command::StepDown(term) => {
+                let row = &mut self.instances[instance];
+                if row.term < term.0 {
+                    row.leads = false;
+                    row.term = term.0;
+                    let leader = self.leader;
+                    self.instances[instance].log = self.instances[leader].log.clone();
+                }
+            }
+            _ => {}
+        }
+        let row = &self.instances[instance];
+        Answer {
+            rows: Vec::new(),
+            outcome,
+            status: TransactionStatus::Idle,
+            position: Some(row.position()),
+            instance_status: matches!(command, Command::Status | Command::StepDown(_))
+                .then(|| row.status()),
+        }
+    }
+
+    pub(super) fn commit(&mut self, instance: usize) -> u64 {
+        self.next_commit += 1;
+        let id = self.next_commit;
+        let term = self.instances[instance].term;
+        self.instances[instance].log.push(Commit { term, id });
+        self.made_by_leader.insert(id, instance == self.leader);
+        let length = self.instances[instance].log.len();
+        for other in 0..INSTANCES {
+            if other != instance {
+                let delay_us = LATENCY_US + self.random.below(LAG_US);
+                self.schedule(
+                    delay_us,
+                    Due::Replicate { instance: other, from: instance, term, length },
+                );
+            }
+        }
+        id
+    }
+
+    pub(super) fn replicate(&mut self, instance: usize, from: usize, term: u64, length: usize) {
+        let is_behind = self.instances[instance].log.len() < length;
+        let follows = !self.instances[instance].leads
+            && self.instances[instance].term <= term
+            && self.instances[instance].is_up
+            && self.instances[from].is_up;
+        if is_behind && follows && self.instances[from].log.len() >= length {
+            let log = self.instances[from].log[..length].to_vec();
+            self.instances[instance].log = log;
+            self.instances[instance].term = term;
+        }
+    }
+
+    /// A promotion takes effect: what the new primary has not received is rolled back.
+    pub(super) fn take_effect(&mut self, instance: usize) {
+        if !self.instances[instance].is_up || self.leader == instance {
+            return;
+        }
+        self.outcome.promotions += 1;
+        let term = self.instances.iter().map(|row| row.term).max().unwrap_or(1) + 1;
+        let kept = self.instances[instance].log.clone();
+        self.acknowledged.retain(|(_, commit)| kept.contains(commit));
+        self.instances[instance].term = term;
+        self.instances[instance].leads = true;
+        self.leader = instance;
+        for other in 0..INSTANCES {
+            let row = &mut self.instances[other];
+            if other != instance && !row.leads {
+                row.log = kept.clone();
+                row.term = term;
+            }
+        }
+        for index in 0..INSTANCES {
+            self.write_entry(index);
+        }
+        self.answer_watches();
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/fleet/world/store_calls.rs
@@ -0,0 +1,69 @@
+//! Calls of proxies to the store.
+
+use super::*;
+
+impl World {
+    pub(super) fn at_store(&mut self, proxy: usize, life: u64, call: StoreCall, sent_us: u64) {
+        if self.store_down || self.cut_store[proxy] {
+            return;
+        }
+        self.store.expire(self.now_us);
+        match self.store.call(&call, self.now_us) {
+            Some(outcome) => self.answer_store(proxy, life, call, sent_us, outcome, LATENCY_US),
+            None => {
+                let StoreCall::Watch { after_revision, wait_ms } = call else { return };
+                let until_us = self.now_us + u64::from(wait_ms) * 1000;
+                self.store.watches.push(Watch { proxy, call, sent_us, after_revision, until_us });
+            }
+        }
+        self.answer_watches();
+    }
+
+    pub(super) fn answer_watches(&mut self) {
+        let watches = core::mem::take(&mut self.store.watches);
+        for watch in watches {
+            if self.cut_store[watch.proxy] {
+                continue;
+            }
+            let outcome = match self.store.changes(watch.after_revision) {
+                None if self.now_us >= watch.until_us => {
+                    Some(StoreOutcome::Changes { items: Vec::new(), as_of: self.store.revision() })
+                }
+                outcome => outcome,
+            };
+            let life = self.proxies[watch.proxy].life;
+            match outcome {
+                Some(outcome) => self.answer_store(
+                    watch.proxy,
+                    life,
+                    watch.call,
+                    watch.sent_us,
+                    outcome,
+                    LATENCY_US,
+                ),
+                None => self.store.watches.push(watch),
+            }
+        }
+    }
+
+    pub(super) fn answer_store(
+        &mut self,
+        index: usize,
+        life: u64,
+        call: StoreCall,
+        sent_us: u64,
+        outcome: StoreOutcome,
+        delay_us: u64,
+    ) {
+        if !self.is_alive(index, life) {
+            return;
+        }
+        let calls = &mut self.proxies[index].calls;
+        let Some(found) = calls.iter().position(|row| *row == (call.clone(), sent_us)) else {
+            return;
+        };
+        calls.remove(found);
+        let event = Box::new(ControlEvent::Store(Box::new(StoreAnswer { call, sent_us, outcome })));
+        self.schedule(delay_us, Due::ToProxy { proxy: index, life, event });
+    }
+}
