--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -56,6 +56,7 @@
                     left.push(session);
                 }
                 Some(retry_after_ms) => {
+                    note_turned_away(tables, key);
                     let reason = "the queue for the primary is longer than the timeout";
                     refuse(tables, session, retry_after_ms, reason, now_us);
                 }
@@ -65,7 +66,9 @@
                 open_if_allowed(tables, instance, now_us);
             }
             Place::Refuse { retry_after_ms, reason } => {
-                note_refusal(tables, key, reason);
+                if reason == primary_choice::CONGESTED {
+                    note_turned_away(tables, key);
+                }
                 refuse(tables, session, retry_after_ms, reason, now_us);
             }
         }
@@ -96,9 +99,8 @@
     is_late.then(|| primary_choice::milliseconds(wait_us / 2))
 }
 
-fn note_refusal(tables: &mut Tables, key: ReplicaSetKey, reason: &'static str) {
-    let Some(set) = tables.replica_sets.get_mut(key) else { return };
-    if reason == primary_choice::CONGESTED {
+fn note_turned_away(tables: &mut Tables, key: ReplicaSetKey) {
+    if let Some(set) = tables.replica_sets.get_mut(key) {
         set.turned_away.note_refused();
     }
 }
