End replacements in one place, and store log times with their unit

The holder's and the adopter's end of a replacement stood twice; takeover_store::conclude has it now. The type of what lagging replicas say has its own file. No behaviour changes.

--- a/crates/cli/src/explain/log_line.rs
+++ b/crates/cli/src/explain/log_line.rs
@@ -1,6 +1,6 @@
 //! Lines of a proxy's log.
 
-use std::time::{Duration, SystemTime};
+use std::time::UNIX_EPOCH;
 
 use serde_json::Value;
 
@@ -11,8 +11,8 @@
 pub struct LogLine {
     pub file: String,
     pub timestamp: String,
-    /// Time since the epoch, by the clock of the line's host.
-    pub at: Duration,
+    /// Unix time by the clock of the line's host.
+    pub at_unix_us: u64,
     pub event: String,
     /// Id of the request that the line is about, empty for none.
     pub request: String,
@@ -25,7 +25,7 @@
         let Value::Object(object) = serde_json::from_str(line).ok()? else { return None };
         let text = |field: &str| object.get(field).and_then(Value::as_str).unwrap_or_default();
         let timestamp = text("timestamp").to_owned();
-        let at = humantime::parse_rfc3339(&timestamp).ok()?;
+        let at = humantime::parse_rfc3339(&timestamp).ok()?.duration_since(UNIX_EPOCH).ok()?;
         let known = ["timestamp", "level", "event", "request"];
         let fields = object
             .iter()
@@ -35,7 +35,7 @@
             .collect();
         Some(Self {
             file: file.to_owned(),
-            at: at.duration_since(SystemTime::UNIX_EPOCH).ok()?,
+            at_unix_us: u64::try_from(at.as_micros()).ok()?,
             event: text("event").to_owned(),
             request: text("request").to_owned(),
             timestamp,
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::CommandFactory;
 use clap_complete::Shell;
@@ -43,8 +43,8 @@
             printer.print(store.client(limit_ms).and_then(|client| history(&client)))
         }
         Command::Explain { id, files, before_ms } => {
-            let before = Duration::from_millis(*before_ms);
-            printer.print(read_logs(files).and_then(|logs| explain(id, &logs, before)))
+            let before_us = before_ms.saturating_mul(1_000);
+            printer.print(read_logs(files).and_then(|logs| explain(id, &logs, before_us)))
         }
         Command::Completions { shell } => printer.print_text(Ok(completions(*shell))),
         Command::Status { proxies }
--- a/crates/pool/src/control.rs
+++ b/crates/pool/src/control.rs
@@ -22,6 +22,7 @@
 mod member_record;
 mod peer_message;
 mod promotion_record;
+mod relief;
 mod replica_set_state;
 mod store_call;
 mod store_item;
--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -7,7 +7,7 @@
 
 use super::PromotionRecord;
 use super::belief::Belief;
-use super::systems::Relief;
+use super::relief::Relief;
 use super::takeover::Takeover;
 use crate::InstanceEntry;
 
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -22,7 +22,6 @@
 mod takeovers;
 
 use super::tables::Tables;
-pub use relief::Relief;
 
 /// Longest time between two ticks.
 const TICK_US: u64 = 100_000;
--- a/crates/pool/src/control/systems/adoption.rs
+++ b/crates/pool/src/control/systems/adoption.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 
-use super::super::replica_set_state::{KnownRecord, UnwrittenRecord};
+use super::super::replica_set_state::KnownRecord;
 use super::super::tables::Tables;
 use super::super::{Action, PromotionRecord, PromotionState};
-use super::takeovers::{POLL_US, STATUS_TIMEOUT_US, broadcast};
-use super::{records, takeover_store};
+use super::takeover_store;
+use super::takeovers::{POLL_US, STATUS_TIMEOUT_US};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole, rendezvous};
 
 /// Delay between the questions of two proxies, by their order.
@@ -78,11 +78,5 @@
     let state = PromotionState::Done { instance: call.instance.clone(), term: status.term };
     let record = PromotionRecord { state, ..claim.record.clone() };
     let revision = claim.revision;
-    records::apply(tables, name, record.clone(), revision, "the announced instance", now_us);
-    broadcast(tables, name, &[]);
-    if let Some(set) = tables.sets.get_mut(name) {
-        let is_writing = false;
-        set.unwritten = Some(UnwrittenRecord { record, revision, next_us: now_us, is_writing });
-    }
-    takeover_store::write_done(tables, name, now_us);
+    takeover_store::conclude(tables, name, record, revision, "the announced instance", now_us);
 }
--- a/crates/pool/src/control/systems/relief.rs
+++ b/crates/pool/src/control/systems/relief.rs
@@ -8,6 +8,7 @@
 use flamingorock_core::Term;
 
 use super::super::Action;
+use super::super::relief::Relief;
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::Tables;
 use super::takeovers::STATUS_TIMEOUT_US;
@@ -21,12 +22,6 @@
 /// else move it round and round.
 const REST_US: u64 = 15_000_000;
 
-/// What the replicas of a congested set say.
-#[derive(Clone, Debug, Default)]
-pub struct Relief {
-    pub statuses: Vec<(Bytes, InstanceStatus, u64)>,
-}
-
 /// The traffic thread reports that the primary serves all reads: the replicas are asked.
 pub fn reported(tables: &mut Tables, name: &Bytes, term: Term, now_us: u64) {
     let Some(set) = tables.sets.get_mut(name) else { return };
--- a/crates/pool/src/control/systems/takeover_store.rs
+++ b/crates/pool/src/control/systems/takeover_store.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::super::replica_set_state::UnwrittenRecord;
 use super::super::tables::Tables;
 use super::super::takeover::Stage;
 use super::super::{
@@ -25,6 +26,24 @@
     }
 }
 
+/// Ends a replacement for everybody, and in the store as soon as that takes the write.
+pub fn conclude(
+    tables: &mut Tables,
+    name: &Bytes,
+    record: PromotionRecord,
+    revision: u64,
+    source: &'static str,
+    now_us: u64,
+) {
+    records::apply(tables, name, record.clone(), revision, source, now_us);
+    broadcast(tables, name, &[]);
+    if let Some(set) = tables.sets.get_mut(name) {
+        let is_writing = false;
+        set.unwritten = Some(UnwrittenRecord { record, revision, next_us: now_us, is_writing });
+    }
+    write_done(tables, name, now_us);
+}
+
 /// Writes that a replacement is done, until the store has that or something newer.
 pub fn write_done(tables: &mut Tables, name: &Bytes, now_us: u64) {
     let Some(unwritten) = tables.sets.get_mut(name).and_then(|set| set.unwritten.as_mut()) else {
--- a/crates/pool/src/control/systems/takeovers.rs
+++ b/crates/pool/src/control/systems/takeovers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use flamingorock_core::Term;
 
-use super::super::replica_set_state::{ReplicaSetState, UnwrittenRecord};
+use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, text};
 use super::super::takeover::{Stage, Takeover};
 use super::super::takeover_kind::TakeoverKind;
@@ -11,7 +11,7 @@
     Action, Change, PeerMessage, PromotionOutcome, PromotionRecord, PromotionState,
 };
 use super::candidates::Choice;
-use super::{adoption, candidates, claims, records, stops, takeover_store};
+use super::{adoption, candidates, claims, stops, takeover_store};
 use crate::{GroupCall, GroupCommand, InstanceStatus, ReplicationRole};
 
 /// How long after it was sent a claim may lead to a promotion call. A successor waits it out.
@@ -267,9 +267,9 @@
     }));
 }
 
-/// The promoted instance leads, or the former one goes on without a promotion call. Everybody may use it at once: the record in the store is still this
-/// claim, and whoever claims next must wait until nobody uses the new primary. The store learns of it
-/// as soon as it takes the write.
+/// The promoted instance leads, or the former one goes on without a promotion call. Everybody may use
+/// it at once: the record in the store is still this claim, and whoever claims next must wait until
+/// nobody uses the primary. The store learns of it as soon as it takes the write.
 fn finish(tables: &mut Tables, name: &Bytes, instance: Bytes, term: Term, now_us: u64) {
     let done = with(tables, name, |_, takeover| {
         (takeover.fence, takeover.revision, takeover.former.clone())
@@ -284,13 +284,7 @@
         holder_incarnation: tables.config.incarnation,
         state: PromotionState::Done { instance, term },
     };
-    records::apply(tables, name, record.clone(), revision, "own promotion", now_us);
-    broadcast(tables, name, &[]);
-    if let Some(set) = tables.sets.get_mut(name) {
-        let is_writing = false;
-        set.unwritten = Some(UnwrittenRecord { record, revision, next_us: now_us, is_writing });
-    }
-    takeover_store::write_done(tables, name, now_us);
+    takeover_store::conclude(tables, name, record, revision, "own promotion", now_us);
 }
 
 /// The old primary may not know yet that it has been replaced.
