--- a/crates/pool/tests/fleet/main.rs
+++ b/crates/pool/tests/fleet/main.rs
@@ -6,10 +6,15 @@
 mod store;
 mod world;
 
+use std::num::NonZero;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
 use world::{INSTANCES, MILLISECOND_US, PROXIES, World};
 
 /// Schedules that every run of the tests plays.
-const SCHEDULES: u64 = 60;
+const SCHEDULES: u64 = 500;
 
 /// Guards against a service that never starts, and against a replacement that takes longer than the
 /// promotion and the detection need.
@@ -200,15 +205,31 @@
 #[test]
 fn random_schedules_keep_the_rules() {
     let (from, to) = range();
-    let mut failed = Vec::new();
-    for seed in from..to {
-        let mut world = World::new(seed);
-        play(&mut world);
-        if !world.outcome.violations.is_empty() {
-            failed.push(format!("{seed}: {}", world.outcome.violations[0]));
+    let next = AtomicU64::new(from);
+    let failed = Mutex::new(Vec::new());
+    let threads = thread::available_parallelism().map_or(1, NonZero::get);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= to {
+                        break;
+                    }
+                    let violations = violations(seed);
+                    failed.lock().expect("no thread has failed").extend(violations);
+                }
+            });
         }
-    }
-    assert_eq!(failed, Vec::<String>::new());
+    });
+    assert_eq!(failed.into_inner().expect("no thread has failed"), Vec::<String>::new());
+}
+
+/// Plays a schedule and returns the first violation, if there is one.
+fn violations(seed: u64) -> Option<String> {
+    let mut world = World::new(seed);
+    play(&mut world);
+    world.outcome.violations.first().map(|violation| format!("{seed}: {violation}"))
 }
 
 fn range() -> (u64, u64) {
