--- a/crates/pool/src/control/systems/directory.rs
+++ b/crates/pool/src/control/systems/directory.rs
@@ -90,7 +90,7 @@
         && set.instances.contains_key(primary)
         && set.instances.values().all(|row| row.missing_since_us.is_none());
     let entry = |row: &KnownInstance| {
-        // What an instance believes of itself changes without a consequence here.
+        // The believed role is not recorded: it may be out of date, and the primary is named anyway.
         crate::InstanceEntry { believed_role: None, ..row.entry.clone() }
     };
     is_certain.then(|| DirectoryRecord {
--- a/crates/pool/src/control/systems/relief.rs
+++ b/crates/pool/src/control/systems/relief.rs
@@ -18,8 +18,8 @@
 const LAG_MS: u64 = 5_000;
 /// Age of an answer from which it is not used.
 const ANSWER_US: u64 = 400_000;
-/// Time after a replacement in which another one is not considered. Lags that follow the role would
-/// else move it round and round.
+/// Time after a replacement in which another one is not considered, so that lags which come with the
+/// role do not move it round and round.
 const REST_US: u64 = 15_000_000;
 
 /// The traffic thread reports that the primary serves all reads: the replicas are asked.
--- a/crates/pool/src/control/systems/sharing.rs
+++ b/crates/pool/src/control/systems/sharing.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// An instance starts later under the same id, or begins to leave; neither goes back.
+/// Whether an entry is newer: a start under the same id only comes later, and leaving has no way back.
 fn is_newer(entry: &InstanceEntry, known: &KnownInstance) -> bool {
     let order = |entry: &InstanceEntry| (entry.started_unix_ms, entry.is_leaving);
     order(entry) > order(&known.entry)
--- a/crates/pool/src/rendezvous.rs
+++ b/crates/pool/src/rendezvous.rs
@@ -13,7 +13,7 @@
         .fold(OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME))
 }
 
-/// Whether a pair belongs to the about `chosen` of `all` pairs that are chosen by their weights.
+/// Whether the weight of a pair chooses it, as it does about `chosen` of `all` pairs.
 #[must_use]
 pub fn is_among(first: &Bytes, second: &Bytes, chosen: u32, all: u32) -> bool {
     // The upper half of the hash: FNV mixes its lower bits less.
--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -28,7 +28,7 @@
     On { connection: ConnectionKey, min_position: Option<Position> },
     /// Nowhere yet.
     Wait,
-    /// Nowhere before others at the primary end.
+    /// Nowhere until a statement at the primary ends.
     WaitForRoom,
     /// Nowhere yet; one more connection to an instance would help.
     WaitForConnection(InstanceKey),
