--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -200,7 +200,7 @@
 }
 
 /// Guards against statements that wait for their timeout behind a queue that is longer than it (inc-8b76
-/// on jfc-mobile: 750 refusals after 0.8 s each).
+/// on jfc-mobile: 464 refusals after their timeouts).
 #[test]
 fn statement_is_refused_at_once_if_the_queue_outlasts_its_timeout() {
     const ANSWER_MS: u64 = 100;
