Report a replica set in heartbeats only until it is confirmed

Cause: each heartbeat reported every replica set: with 20 sets about 260 of 320 bytes, sent by each of 117 proxies to all others 2.5 times a second.

Change: what a proxy knows about the sets has a version; a heartbeat reports the sets that changed after the version that its receiver has confirmed, and those in trouble. A permit still depends on knowing what the others know, so a heartbeat whose reports start from a version that the receiver lacks confirms nothing. News other than an unreachable primary goes to eight proxies at once instead of all; a new proxy gets a heartbeat of its own. The receive buffer is allocated once.

Tried first: reports in turn, two per heartbeat.

--- a/crates/daemon/src/pooled/control_thread.rs
+++ b/crates/daemon/src/pooled/control_thread.rs
@@ -70,6 +70,8 @@
     calls: HttpClient<CallContext>,
     server: HttpServer,
     peer_socket: UdpSocket,
+    /// Receive buffer of `peer_socket`.
+    datagram: Vec<u8>,
     readiness_listener: TcpListener,
     metrics_listener: Option<TcpListener>,
     stop: SignalPipe,
@@ -130,6 +132,7 @@
             calls: HttpClient::new(),
             server: HttpServer::new(),
             peer_socket,
+            datagram: vec![0; DATAGRAM_BUFFER_BYTES],
             readiness_listener,
             metrics_listener,
             stop,
@@ -245,9 +248,8 @@
     }
 
     fn receive_datagrams(&mut self) {
-        let mut bytes = vec![0; DATAGRAM_BUFFER_BYTES];
-        while let Ok((length, from)) = self.peer_socket.recv_from(&mut bytes) {
-            match postcard::from_bytes::<PeerMessage>(&bytes[..length]) {
+        while let Ok((length, from)) = self.peer_socket.recv_from(&mut self.datagram) {
+            match postcard::from_bytes::<PeerMessage>(&self.datagram[..length]) {
                 Ok(message) => self.machine.push(Event::Peer(message)),
                 Err(error) => {
                     tracing::warn!(event = "datagram_unreadable", %from, %error);
--- a/crates/pool/src/control/member.rs
+++ b/crates/pool/src/control/member.rs
@@ -7,6 +7,20 @@
 
 use super::ReplicaSetReport;
 
+/// A report of another proxy about a replica set.
+#[derive(Clone, Debug)]
+pub struct ReceivedReport {
+    pub received_us: u64,
+    pub report: ReplicaSetReport,
+}
+
+impl ReceivedReport {
+    /// When the other proxy last had contact with the primary.
+    pub fn primary_seen_us(&self) -> u64 {
+        self.received_us.saturating_sub(u64::from(self.report.primary_silent_ms) * 1000)
+    }
+}
+
 /// What this proxy knows about another proxy.
 #[derive(Debug)]
 pub struct Member {
@@ -24,8 +38,12 @@
     pub sent_heartbeats: VecDeque<(u64, u64)>,
     /// Send time of the newest heartbeat that the member has echoed, 0 if none.
     pub confirmed_us: u64,
-    /// The member's last reports about the replica sets.
-    pub reports: Vec<ReplicaSetReport>,
+    /// The member's last report about each replica set that it has reported on lately.
+    pub reports: Vec<ReceivedReport>,
+    /// Version of this proxy's knowledge of the replica sets that the member has confirmed.
+    pub confirmed_sets_version: u64,
+    /// Version of the member's knowledge that this proxy has received.
+    pub received_sets_version: u64,
     /// When to send the member a heartbeat outside the regular interval.
     pub extra_heartbeat_due_us: Option<u64>,
 }
@@ -33,6 +51,8 @@
 impl Member {
     /// Number of sent heartbeats to remember for matching echoes.
     const SENT_HEARTBEATS_KEPT: usize = 16;
+    /// Time for which a report is kept.
+    const REPORT_VALID_US: u64 = 5_000_000;
     /// Time without a heartbeat after which a member is out of contact.
     const CONTACT_TIMEOUT_US: u64 = 900_000;
 
@@ -47,6 +67,8 @@
             sent_heartbeats: VecDeque::new(),
             confirmed_us: 0,
             reports: Vec::new(),
+            confirmed_sets_version: 0,
+            received_sets_version: 0,
             extra_heartbeat_due_us: None,
         }
     }
@@ -76,7 +98,17 @@
     }
 
     /// The member's last report about a replica set.
-    pub fn report(&self, replica_set: &Bytes) -> Option<&ReplicaSetReport> {
-        self.reports.iter().find(|report| report.replica_set == *replica_set)
+    pub fn report(&self, replica_set: &Bytes) -> Option<&ReceivedReport> {
+        self.reports.iter().find(|received| received.report.replica_set == *replica_set)
+    }
+
+    /// Replaces earlier reports about the same replica sets, and drops those that are out of date.
+    pub fn record_reports(&mut self, reports: Vec<ReplicaSetReport>, now_us: u64) {
+        self.reports.retain(|old| {
+            now_us < old.received_us + Self::REPORT_VALID_US
+                && !reports.iter().any(|report| report.replica_set == old.report.replica_set)
+        });
+        let received = |report| ReceivedReport { received_us: now_us, report };
+        self.reports.extend(reports.into_iter().map(received));
     }
 }
--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -89,8 +89,18 @@
     pub configuration_version: u64,
     /// Whether the sender cannot reach the store.
     pub is_store_unreachable: bool,
-    /// The sender's knowledge of each replica set.
+    /// The replica sets that have changed since the version that the receiver has confirmed, and
+    /// those in trouble.
     pub reports: Vec<ReplicaSetReport>,
+    /// Version of the sender's knowledge that the reports start from. A receiver that lacks it lacks
+    /// other reports too.
+    pub sets_base_version: u64,
+    /// Version of the sender's knowledge of the replica sets that the receiver has after this
+    /// heartbeat, if it has the one that the reports start from.
+    pub sets_version: u64,
+    /// Highest such version that the sender has received from the receiver's current incarnation,
+    /// 0 if none.
+    pub sets_version_echo: u64,
 }
 
 /// What a proxy knows about a replica set's primary.
--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -39,6 +39,14 @@
     pub is_writing: bool,
 }
 
+/// The part of a replica set's state that heartbeats report and that changes only with an event.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReportedState {
+    pub fencing_token: u64,
+    pub term: Term,
+    pub is_primary_unreachable: bool,
+}
+
 /// A replica set.
 #[derive(Debug)]
 pub struct ReplicaSetState {
@@ -65,6 +73,11 @@
     pub claim_due_us: Option<u64>,
     /// Moving average of the time from a claim to the new primary.
     pub failover_duration_us: u64,
+    /// What heartbeats report at present, and the version that it was given.
+    pub reported_state: ReportedState,
+    pub changed_version: u64,
+    /// Until when to report on the set because another proxy could not reach its primary.
+    pub suspected_until_us: u64,
 }
 
 /// Initial value of `failover_duration_us`, before a failover has been observed.
@@ -88,6 +101,9 @@
             next_search_us: 0,
             claim_due_us: None,
             failover_duration_us: ASSUMED_FAILOVER_US,
+            reported_state: ReportedState::default(),
+            changed_version: 0,
+            suspected_until_us: 0,
         }
     }
 
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -17,6 +17,7 @@
 mod registration;
 mod replica_lag;
 mod search;
+mod set_reports;
 mod shutdown;
 mod stalled_failovers;
 mod stop_acks;
--- a/crates/pool/src/control/systems/detection.rs
+++ b/crates/pool/src/control/systems/detection.rs
@@ -152,16 +152,19 @@
 /// Replaces a primary that neither this proxy nor any proxy in contact can reach.
 fn decide_unreachable(tables: &Tables, name: &Bytes, since_us: u64, now_us: u64) -> Decision {
     for (_, member) in tables.members.iter().filter(|(_, member)| member.is_in_contact(now_us)) {
-        let Some(report) = member.report(name) else { continue };
-        if report.is_primary_unreachable {
+        let Some(received) = member.report(name) else {
+            if now_us < since_us + REPORT_PATIENCE_US {
+                return Decision::Keep;
+            }
+            continue;
+        };
+        if received.report.is_primary_unreachable {
             continue;
         }
-        let heard_us =
-            member.last_heartbeat_us.saturating_sub(u64::from(report.primary_silent_ms) * 1000);
-        if heard_us > since_us + EVIDENCE_MARGIN_US {
+        if received.primary_seen_us() > since_us + EVIDENCE_MARGIN_US {
             return Decision::ReachableByOthers;
         }
-        if member.last_heartbeat_us < since_us + EVIDENCE_MARGIN_US + PEER_REPORT_US {
+        if received.received_us < since_us + EVIDENCE_MARGIN_US + PEER_REPORT_US {
             // The member has not reported yet whether it reaches the primary.
             return Decision::Keep;
         }
@@ -174,6 +177,9 @@
 
 /// Time within which another proxy reports whether it reaches an unreachable primary.
 const PEER_REPORT_US: u64 = 60_000;
+/// Time to wait for the report of a proxy in contact that has not reported on the replica set at
+/// all: it may not know the set.
+const REPORT_PATIENCE_US: u64 = 900_000;
 
 /// Whether other proxies reach a primary that this proxy cannot reach.
 pub fn is_reachable_by_others(tables: &Tables, name: &Bytes, now_us: u64) -> bool {
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -6,8 +6,9 @@
 use super::super::member::Member;
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, display_name};
-use super::super::{Action, Heartbeat, MemberRecord, PeerMessage, ReplicaSetReport, StateChange};
-use super::{instance_relay, registration};
+use super::super::{Action, Heartbeat, MemberRecord, PeerMessage, StateChange};
+use super::{instance_relay, registration, set_reports};
+use crate::rendezvous;
 
 /// Heartbeat interval in a small fleet.
 const INTERVAL_US: u64 = 250_000;
@@ -21,11 +22,13 @@
 /// How long departed proxies count towards the majority if they are more than half of the fleet.
 /// Partitioned from the store, they may continue as a majority.
 const MAJORITY_RETENTION_US: u64 = 20_000_000;
+/// Average number of proxies that hear of news at once.
+const GOSSIP_FANOUT: u32 = 8;
 /// Time for the traffic thread to probe a primary before this proxy reports on it.
 const PROBE_US: u64 = 40_000;
 
 /// Handles a member record in the store.
-pub fn register(tables: &mut Tables, name: Bytes, record: MemberRecord) {
+pub fn register(tables: &mut Tables, name: Bytes, record: MemberRecord, now_us: u64) {
     if name == tables.config.name {
         return;
     }
@@ -43,11 +46,13 @@
         });
         let member = Member::new(record.peer_address, record.incarnation);
         tables.members.insert(name.clone(), member);
-        tables.is_heartbeat_urgent = true;
         tables.is_view_outdated = true;
     }
     if let Some(member) = tables.members.get_mut(&name) {
         member.is_registered = true;
+        if !present {
+            member.extra_heartbeat_due_us = Some(now_us);
+        }
     }
 }
 
@@ -66,14 +71,7 @@
 pub fn receive(tables: &mut Tables, heartbeat: Heartbeat, now_us: u64) {
     tables.reported_configuration_version =
         tables.reported_configuration_version.max(heartbeat.configuration_version);
-    for report in &heartbeat.reports {
-        if let Some(set) = tables.replica_sets.get_mut(&report.replica_set)
-            && report.fencing_token > set.fencing_token()
-        {
-            set.reported_fencing_token = report.fencing_token;
-            tables.is_view_outdated = true;
-        }
-    }
+    set_reports::apply(tables, &heartbeat, now_us);
     let unreachable_sets: Vec<Bytes> = heartbeat
         .reports
         .iter()
@@ -103,9 +101,15 @@
     }
     member.last_heartbeat_us = now_us;
     member.last_sequence = heartbeat.sequence;
-    member.confirm(heartbeat.echo);
-    let had_lost_sets = member.reports.iter().any(|report| report.is_primary_unreachable);
-    member.reports = heartbeat.reports;
+    // A confirmation counts only if this proxy now knows what the sender knows, claims above all.
+    if heartbeat.sets_base_version <= member.received_sets_version {
+        member.received_sets_version = heartbeat.sets_version;
+        member.confirm(heartbeat.echo);
+    }
+    member.confirmed_sets_version = heartbeat.sets_version_echo;
+    let had_lost_sets =
+        member.reports.iter().any(|received| received.report.is_primary_unreachable);
+    member.record_reports(heartbeat.reports, now_us);
     if !unreachable_sets.is_empty() && !had_lost_sets {
         member.extra_heartbeat_due_us = Some(now_us + PROBE_US);
         for replica_set in unreachable_sets {
@@ -166,22 +170,26 @@
 
 pub fn run(tables: &mut Tables, now_us: u64) {
     remove_departed(tables, now_us);
-    let is_due =
-        now_us >= tables.next_heartbeat_us || core::mem::take(&mut tables.is_heartbeat_urgent);
+    set_reports::note_changes(tables);
+    let is_urgent = core::mem::take(&mut tables.is_heartbeat_urgent);
+    let is_gossip_due = core::mem::take(&mut tables.is_gossip_due);
+    let is_due = is_urgent || now_us >= tables.next_heartbeat_us;
+    let is_due_to = |name: &Bytes, member: &Member| {
+        is_due
+            || member.extra_heartbeat_due_us.is_some_and(|due_us| due_us <= now_us)
+            || (is_gossip_due && is_gossip_peer(tables, name))
+    };
     let due: Vec<Bytes> = tables
         .members
         .iter()
-        .filter(|(_, member)| {
-            is_due || member.extra_heartbeat_due_us.is_some_and(|due_us| due_us <= now_us)
-        })
+        .filter(|(name, member)| is_due_to(name, member))
         .map(|(name, _)| name.clone())
         .collect();
     if due.is_empty() && !is_due {
         return;
     }
-    let reports = replica_set_reports(tables, now_us);
     for name in due {
-        send(tables, &name, reports.clone(), now_us);
+        send(tables, &name, now_us);
     }
     if is_due {
         let is_small = tables.members.len() < SMALL_FLEET;
@@ -189,8 +197,18 @@
     }
 }
 
-fn send(tables: &mut Tables, name: &Bytes, reports: Vec<ReplicaSetReport>, now_us: u64) {
+/// Whether a proxy is among those that hear of news at once. The others hear of it from these and
+/// with the next regular heartbeat.
+fn is_gossip_peer(tables: &Tables, name: &Bytes) -> bool {
+    let proxies = u32::try_from(tables.members.len()).unwrap_or(u32::MAX);
+    let round = Bytes::copy_from_slice(&tables.heartbeat_sequence.to_le_bytes());
+    proxies <= GOSSIP_FANOUT || rendezvous::is_selected(&round, name, GOSSIP_FANOUT, proxies)
+}
+
+fn send(tables: &mut Tables, name: &Bytes, now_us: u64) {
     tables.heartbeat_sequence += 1;
+    let Some(member) = tables.members.get(name) else { return };
+    let reports = set_reports::reports_since(tables, member.confirmed_sets_version, now_us);
     let Some(member) = tables.members.get_mut(name) else { return };
     member.record_sent(tables.heartbeat_sequence, now_us);
     member.extra_heartbeat_due_us = None;
@@ -203,26 +221,14 @@
         configuration_version: tables.configuration.version,
         is_store_unreachable: tables.mirror.is_store_unreachable,
         reports,
+        sets_base_version: member.confirmed_sets_version,
+        sets_version: tables.sets_version,
+        sets_version_echo: member.received_sets_version,
     };
     let message = PeerMessage::Heartbeat(heartbeat);
     tables.actions.push(Action::Send { address: member.address, message });
 }
 
-fn replica_set_reports(tables: &Tables, now_us: u64) -> Vec<ReplicaSetReport> {
-    let report = |name: &Bytes| {
-        let set = tables.replica_sets.get(name)?;
-        let age_ms = now_us.saturating_sub(set.primary_seen_us) / 1000;
-        Some(ReplicaSetReport {
-            replica_set: name.clone(),
-            fencing_token: set.fencing_token(),
-            term: set.term(),
-            primary_silent_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-            is_primary_unreachable: set.unreachable_since_us.is_some(),
-        })
-    };
-    tables.configured_sets().filter_map(report).collect()
-}
-
 /// Removes proxies that are neither registered nor in contact, after the retention time. Until then
 /// they count towards the majority.
 fn remove_departed(tables: &mut Tables, now_us: u64) {
--- a/crates/pool/src/control/systems/instances.rs
+++ b/crates/pool/src/control/systems/instances.rs
@@ -74,7 +74,7 @@
     let configuration = Arc::clone(&tables.configuration);
     tables.replica_sets.retain(|name, set| {
         !set.instances.is_empty()
-            || set.record.is_some()
+            || set.fencing_token() > 0
             || configuration.replica_sets.iter().any(|rule| rule.name == *name)
     });
 }
--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -241,7 +241,7 @@
         }
         (_, StoreContent::Instance(entry)) => apply_instance(tables, entry, now_us),
         (StoreKey::Member(name), StoreContent::Member(record)) => {
-            heartbeats::register(tables, name, record);
+            heartbeats::register(tables, name, record, now_us);
         }
         (StoreKey::Promotion(set), StoreContent::Promotion(record)) => {
             records::apply(tables, &set, record, item.revision, "the store", now_us);
@@ -277,7 +277,7 @@
     });
     tables.configuration = Arc::new(configuration);
     tables.is_view_outdated = true;
-    tables.is_heartbeat_urgent = true;
+    tables.is_gossip_due = true;
 }
 
 pub fn apply_instance(tables: &mut Tables, entry: crate::InstanceEntry, now_us: u64) {
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -59,7 +59,7 @@
     set.lag_check = None;
     set.record = Some(KnownRecord { record, revision, seen_us: now_us });
     tables.is_view_outdated = true;
-    tables.is_heartbeat_urgent = true;
+    tables.is_gossip_due = true;
 }
 
 /// Handles the traffic thread's report that it no longer uses the old primary.
--- a/crates/pool/src/control/systems/search.rs
+++ b/crates/pool/src/control/systems/search.rs
@@ -63,7 +63,7 @@
             set.primary_seen_us = now_us;
         }
         // Other proxies may still be searching.
-        tables.is_heartbeat_urgent = true;
+        tables.is_gossip_due = true;
     }
 }
 
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -75,8 +75,12 @@
     pub reported_configuration_version: u64,
     pub heartbeat_sequence: u64,
     pub next_heartbeat_us: u64,
-    /// Whether to send heartbeats at once because this proxy's state has changed.
+    /// Whether to send heartbeats to all proxies at once because this proxy's state has changed.
     pub is_heartbeat_urgent: bool,
+    /// Whether to send heartbeats to a few proxies at once, which pass the news on.
+    pub is_gossip_due: bool,
+    /// Version of what this proxy knows about the replica sets; each change raises it.
+    pub sets_version: u64,
     /// Whether the published view may be out of date.
     pub is_view_outdated: bool,
     pub view_sequence: u64,
@@ -118,6 +122,9 @@
             heartbeat_sequence,
             next_heartbeat_us: 0,
             is_heartbeat_urgent: false,
+            is_gossip_due: false,
+            // Starts at the incarnation, like the sequence number.
+            sets_version: heartbeat_sequence,
             is_view_outdated: false,
             view_sequence: 0,
             is_ready: false,
@@ -144,6 +151,11 @@
         rules.map(|rule| &rule.name).filter(|name| self.replica_sets.contains_key(*name))
     }
 
+    /// Whether the configuration contains a replica set.
+    pub fn is_configured(&self, name: &Bytes) -> bool {
+        self.configuration.replica_sets.iter().any(|rule| rule.name == *name)
+    }
+
     /// Number of proxies in the fleet, including this one.
     pub fn fleet_size(&self, now_us: u64) -> usize {
         1 + self.present_members(now_us).count()
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -35,6 +35,9 @@
         configuration_version: 1,
         is_store_unreachable: true,
         reports: Vec::new(),
+        sets_base_version: 0,
+        sets_version: 1,
+        sets_version_echo: 0,
     };
     connected.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
     for message in connected.messages() {
--- a/crates/pool/tests/control_support/mod.rs
+++ b/crates/pool/tests/control_support/mod.rs
@@ -36,18 +36,20 @@
 pub struct World {
     pub control: Control,
     pub now_us: u64,
+    pub permit: Permit,
 }
 
 impl World {
     pub fn new() -> Self {
+        let permit = Permit::default();
         let config = ControlConfig {
             name: bytes("proxy-0"),
             peer_address: peer_address(),
             incarnation: 1,
-            permit: Permit::default(),
+            permit: permit.clone(),
             grace_us: 6_000 * MILLISECOND_US,
         };
-        Self { control: Control::new(config, 0), now_us: 0 }
+        Self { control: Control::new(config, 0), now_us: 0, permit }
     }
 
     /// Ticks and returns the calls that mirror the store.
@@ -87,9 +89,14 @@
     }
 
     /// Responds to the first listing with a configuration and the given items.
-    pub fn list(&mut self, mut items: Vec<StoreItem>) {
+    pub fn list(&mut self, items: Vec<StoreItem>) {
+        self.list_configured(items, vec![bytes("set")]);
+    }
+
+    /// Like [`Self::list`], with a configuration that contains the given replica sets.
+    pub fn list_configured(&mut self, mut items: Vec<StoreItem>, replica_sets: Vec<Bytes>) {
         let list = self.mirror_calls().remove(0);
-        let content = StoreContent::Configuration(configuration());
+        let content = StoreContent::Configuration(configuration(replica_sets));
         items.push(StoreItem { key: StoreKey::Configuration, revision: 2, content });
         self.respond(list, StoreOutcome::Page { items, as_of: 40, next: None });
     }
@@ -114,15 +121,14 @@
     }
 }
 
-pub fn configuration() -> Configuration {
+pub fn configuration(replica_sets: Vec<Bytes>) -> Configuration {
     Configuration {
         version: 1,
         databases: Vec::new(),
-        replica_sets: vec![ReplicaSetConfig {
-            name: bytes("set"),
-            connections_limit: 16,
-            sync_replicas: 0,
-        }],
+        replica_sets: replica_sets
+            .into_iter()
+            .map(|name| ReplicaSetConfig { name, connections_limit: 16, sync_replicas: 0 })
+            .collect(),
         idle_transaction_us: 3_000 * MILLISECOND_US,
     }
 }
--- a/crates/pool/tests/fleet/world.rs
+++ b/crates/pool/tests/fleet/world.rs
@@ -10,10 +10,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use flamingorock_core::TransactionStatus;
+use flamingorock_core::{Term, TransactionStatus};
 use flamingorock_pool::control::{
     Action as ControlAction, Control, ControlConfig, Event as ControlEvent, PeerMessage,
-    PromotionOutcome, StoreCall, StoreContent, StoreKey, StoreOutcome, StoreResponse,
+    PromotionOutcome, PromotionRecord, PromotionState, StoreCall, StoreContent, StoreKey,
+    StoreOutcome, StoreResponse,
 };
 use flamingorock_pool::traffic::{
     Action, Command, Event, Query, ReplyOutcome, Report, Response, ResponseOutcome, Statement,
@@ -32,6 +33,8 @@
 pub const PROXIES: usize = 5;
 pub const INSTANCES: usize = 3;
 const SET: &str = "set";
+/// Replica sets without instances. With them, a heartbeat does not report on every set.
+const IDLE_SETS: usize = 9;
 const LATENCY_US: u64 = 500;
 const WORK_US: u64 = 3_000;
 /// Shorter than on the platform, so that a slow promotion does not hide races.
@@ -187,6 +190,16 @@
             committed_by_primary: BTreeMap::new(),
         };
         world.store.put(StoreKey::Configuration, configuration(), 0);
+        for index in 0..IDLE_SETS {
+            let record = PromotionRecord {
+                fencing_token: 1,
+                holder: bytes("p0"),
+                holder_incarnation: 0,
+                state: PromotionState::Done { instance: bytes("gone"), term: Term(1) },
+            };
+            let key = StoreKey::Promotion(idle_set(index));
+            world.store.put(key, StoreContent::Promotion(record), 0);
+        }
         for index in 0..INSTANCES {
             world.write_entry(index);
         }
@@ -531,6 +544,10 @@
     usize::from(id[1] - b'0')
 }
 
+fn idle_set(index: usize) -> Bytes {
+    bytes(&format!("idle-{index}"))
+}
+
 fn configuration() -> StoreContent {
     StoreContent::Configuration(Configuration {
         version: 1,
@@ -542,11 +559,11 @@
             target_latency_us: 100 * MILLISECOND_US,
             rank: 0,
         }],
-        replica_sets: vec![ReplicaSetConfig {
-            name: bytes(SET),
-            connections_limit: 50,
-            sync_replicas: 0,
-        }],
+        replica_sets: (0..IDLE_SETS)
+            .map(idle_set)
+            .chain([bytes(SET)])
+            .map(|name| ReplicaSetConfig { name, connections_limit: 50, sync_replicas: 0 })
+            .collect(),
         idle_transaction_us: 3_000_000,
     })
 }
--- a/crates/pool/tests/odd_entries.rs
+++ b/crates/pool/tests/odd_entries.rs
@@ -62,6 +62,9 @@
                     configuration_version: 1,
                     is_store_unreachable: false,
                     reports: Vec::new(),
+                    sets_base_version: 0,
+                    sets_version: 1,
+                    sets_version_echo: 0,
                 };
                 self.world.control.push(Event::Peer(PeerMessage::Heartbeat(echo)));
             }
