Read at replicas in a large fleet: share positions, try unconnected replicas

Cause: with 117 proxies and 88 connections an instance, most proxies have no connection to a given replica and send few statements to its primary. Most stale reads went to the primaries; the busiest instance had 4.15 times the mean.

Change: heartbeats carry a position that the sender has seen at a primary, of one set at a time; it counts from the time at which the echoed heartbeat was sent, so that it is never taken for newer than it is. A replica without a connection is tried: the read carries its minimum position. Among replicas the setup of a connection counts as part of the expected latency.

--- a/crates/daemon/src/pooled/control_thread.rs
+++ b/crates/daemon/src/pooled/control_thread.rs
@@ -319,6 +319,11 @@
             Action::ProbePrimary { replica_set } => {
                 self.outgoing.push_back(TrafficThreadMessage::ProbePrimary { replica_set });
             }
+            Action::PassPosition { replica_set, term, at_us, position } => {
+                let message =
+                    TrafficThreadMessage::PrimaryPosition { replica_set, term, at_us, position };
+                self.outgoing.push_back(message);
+            }
             Action::SetReady(is_ready) => self.is_ready = is_ready,
             Action::StopTraffic { close_idle_us, abort_us } => {
                 self.outgoing.push_back(TrafficThreadMessage::Stop { close_idle_us, abort_us });
--- a/crates/daemon/src/pooled/thread_messages.rs
+++ b/crates/daemon/src/pooled/thread_messages.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use flamingorock_core::{Position, Term};
 use flamingorock_pool::traffic::Report;
 use flamingorock_pool::{InstanceCall, PoolView};
 
@@ -28,6 +29,17 @@
         /// The replica set.
         replica_set: Bytes,
     },
+    /// A position that another proxy has seen at a primary.
+    PrimaryPosition {
+        /// The replica set.
+        replica_set: Bytes,
+        /// Term of the primary.
+        term: Term,
+        /// The position covers every commit acknowledged before this time.
+        at_us: u64,
+        /// Position of the primary's log.
+        position: Position,
+    },
     /// Ends all sessions because the process shuts down.
     Stop {
         /// Time from which sessions without an open transaction are closed. The listener is closed
--- a/crates/daemon/src/pooled/traffic_thread.rs
+++ b/crates/daemon/src/pooled/traffic_thread.rs
@@ -124,6 +124,9 @@
                 TrafficThreadMessage::ProbePrimary { replica_set } => {
                     Event::ProbePrimary { replica_set }
                 }
+                TrafficThreadMessage::PrimaryPosition { replica_set, term, at_us, position } => {
+                    Event::PrimaryPosition { replica_set, term, at_us, position }
+                }
                 TrafficThreadMessage::Stop { close_idle_us, abort_us } => {
                     self.close_listener_us = Some(close_idle_us);
                     Event::Stop { close_idle_us, abort_us }
--- a/crates/pool/src/control.rs
+++ b/crates/pool/src/control.rs
@@ -40,7 +40,7 @@
 pub use event::Event;
 pub use machine::Control;
 pub use member_record::MemberRecord;
-pub use peer_message::{Heartbeat, PeerMessage, ReplicaSetReport, SilentPeer};
+pub use peer_message::{Heartbeat, PeerMessage, PositionSample, ReplicaSetReport, SilentPeer};
 pub use promotion_record::{PromotionRecord, PromotionState};
 pub use state_change::StateChange;
 pub use store_call::{Condition, PromotionOutcome, StoreCall, StoreOutcome, StoreResponse};
--- a/crates/pool/src/control/action.rs
+++ b/crates/pool/src/control/action.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use flamingorock_core::{Position, Term};
 
 use super::{PeerMessage, StoreCall};
 use crate::{InstanceCall, PoolView};
@@ -46,6 +47,17 @@
         /// Replica set to probe.
         replica_set: Bytes,
     },
+    /// Tells the traffic thread a position that another proxy has seen at a primary.
+    PassPosition {
+        /// Replica set of the primary.
+        replica_set: Bytes,
+        /// Term of the primary.
+        term: Term,
+        /// The position covers every commit acknowledged before this time.
+        at_us: u64,
+        /// Position of the primary's log.
+        position: Position,
+    },
     /// Sets the answer to the load balancer's readiness check.
     SetReady(bool),
     /// Has the traffic thread close its sessions.
--- a/crates/pool/src/control/member.rs
+++ b/crates/pool/src/control/member.rs
@@ -80,14 +80,20 @@
         self.sent_heartbeats.push_back((sequence, now_us));
     }
 
-    /// Records that the member has echoed a heartbeat of this proxy.
+    /// Records that the member has echoed a heartbeat of this proxy, which knows now what the member
+    /// knew.
     pub fn confirm(&mut self, sequence: u64) {
-        let found = self.sent_heartbeats.iter().find(|(sent, _)| *sent == sequence);
-        if let Some((_, sent_us)) = found {
-            self.confirmed_us = self.confirmed_us.max(*sent_us);
+        if let Some(sent_us) = self.sent_us(sequence) {
+            self.confirmed_us = self.confirmed_us.max(sent_us);
         }
     }
 
+    /// When this proxy sent one of the latest heartbeats to the member.
+    pub fn sent_us(&self, sequence: u64) -> Option<u64> {
+        let found = self.sent_heartbeats.iter().find(|(sent, _)| *sent == sequence);
+        found.map(|(_, sent_us)| *sent_us)
+    }
+
     pub fn is_in_contact(&self, now_us: u64) -> bool {
         self.last_heartbeat_us > 0 && now_us < self.last_heartbeat_us + Self::CONTACT_TIMEOUT_US
     }
--- a/crates/pool/src/control/peer_message.rs
+++ b/crates/pool/src/control/peer_message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use flamingorock_core::Term;
+use flamingorock_core::{Position, Term};
 use serde::{Deserialize, Serialize};
 
 use super::PromotionRecord;
@@ -56,7 +56,7 @@
         /// Fencing token of the claim.
         fencing_token: u64,
         /// Last log position that the sender observed at the old primary, if any.
-        position: Option<flamingorock_core::Position>,
+        position: Option<Position>,
         /// Proxies that the sender is out of contact with.
         silent_peers: Vec<SilentPeer>,
     },
@@ -101,6 +101,21 @@
     /// Highest such version that the sender has received from the receiver's current incarnation,
     /// 0 if none.
     pub sets_version_echo: u64,
+    /// A position that the sender has seen lately, of one replica set at a time.
+    pub sample: Option<PositionSample>,
+}
+
+/// Position of a primary's log that the sender has seen.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PositionSample {
+    /// Name of the replica set.
+    pub replica_set: Bytes,
+    /// Term of the primary.
+    pub term: Term,
+    /// Position of its log.
+    pub position: Position,
+    /// Time since the primary was asked, rounded up.
+    pub age_ms: u32,
 }
 
 /// What a proxy knows about a replica set's primary.
--- a/crates/pool/src/control/replica_set_state.rs
+++ b/crates/pool/src/control/replica_set_state.rs
@@ -47,6 +47,14 @@
     pub is_primary_unreachable: bool,
 }
 
+/// A position that this proxy has seen at the primary.
+#[derive(Clone, Copy, Debug)]
+pub struct PrimarySample {
+    /// When the command was sent that returned the position.
+    pub at_us: u64,
+    pub position: flamingorock_core::Position,
+}
+
 /// A replica set.
 #[derive(Debug)]
 pub struct ReplicaSetState {
@@ -76,6 +84,12 @@
     /// What heartbeats report at present, and the version that it was given.
     pub reported_state: ReportedState,
     pub changed_version: u64,
+    /// When this proxy learned of the present primary.
+    pub primary_since_us: u64,
+    /// Last position that this proxy has seen at the present primary.
+    pub sample: Option<PrimarySample>,
+    /// Time of the newest position that the traffic thread knows.
+    pub sampled_us: u64,
     /// Until when to report on the set because another proxy could not reach its primary.
     pub suspected_until_us: u64,
 }
@@ -103,10 +117,21 @@
             failover_duration_us: ASSUMED_FAILOVER_US,
             reported_state: ReportedState::default(),
             changed_version: 0,
+            primary_since_us: 0,
+            sample: None,
+            sampled_us: 0,
             suspected_until_us: 0,
         }
     }
 
+    /// Sets the primary. What was observed at another one no longer counts.
+    pub fn set_primary(&mut self, instance: Bytes, term: Term, now_us: u64) {
+        self.known_primary = KnownPrimary::Leader { instance, term };
+        self.unreachable_since_us = None;
+        self.primary_since_us = now_us;
+        self.sample = None;
+    }
+
     /// The primary and its term, if they are known.
     pub fn primary(&self) -> Option<(&Bytes, Term)> {
         match &self.known_primary {
--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod mirror;
 mod permits;
+mod position_samples;
 mod publishing;
 mod records;
 mod registration;
--- a/crates/pool/src/control/systems/detection.rs
+++ b/crates/pool/src/control/systems/detection.rs
@@ -8,7 +8,7 @@
 use super::super::known_primary::KnownPrimary;
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, display_name};
-use super::{claims, replica_lag};
+use super::{claims, position_samples, replica_lag};
 
 /// Another proxy's contact with the primary counts only if it is at least this much later than the
 /// time since which this proxy cannot reach the primary.
@@ -24,6 +24,7 @@
     instance: &Bytes,
     at_us: u64,
     position: Option<Position>,
+    now_us: u64,
 ) {
     let Some(set) = tables.replica_sets.get_mut(name) else { return };
     if set.primary().map(|(primary, _)| primary) != Some(instance) {
@@ -40,6 +41,9 @@
         tables.is_view_outdated = true;
         tables.is_heartbeat_urgent = true;
     }
+    if let Some(position) = position {
+        position_samples::observed(tables, name, at_us, position, now_us);
+    }
 }
 
 pub fn primary_unreachable(tables: &mut Tables, name: &Bytes, instance: &Bytes, since_us: u64) {
--- a/crates/pool/src/control/systems/directory.rs
+++ b/crates/pool/src/control/systems/directory.rs
@@ -56,6 +56,7 @@
                 &record.primary,
                 record.term,
                 "the directory record",
+                now_us,
             );
         }
     }
--- a/crates/pool/src/control/systems/heartbeats.rs
+++ b/crates/pool/src/control/systems/heartbeats.rs
@@ -6,8 +6,8 @@
 use super::super::member::Member;
 use super::super::replica_set_state::ReplicaSetState;
 use super::super::tables::{Tables, display_name};
-use super::super::{Action, Heartbeat, MemberRecord, PeerMessage, StateChange};
-use super::{instance_relay, registration, set_reports};
+use super::super::{Action, Heartbeat, MemberRecord, PeerMessage, PositionSample, StateChange};
+use super::{instance_relay, position_samples, registration, set_reports};
 use crate::rendezvous;
 
 /// Heartbeat interval in a small fleet.
@@ -106,7 +106,12 @@
         member.received_sets_version = heartbeat.sets_version;
         member.confirm(heartbeat.echo);
     }
-    member.confirmed_sets_version = heartbeat.sets_version_echo;
+    // An earlier run of this proxy had versions of its own.
+    if heartbeat.echo >= tables.config.incarnation {
+        member.confirmed_sets_version = heartbeat.sets_version_echo;
+    }
+    // The heartbeat was sent after its sender had received the one that it echoes.
+    let echoed_us = member.sent_us(heartbeat.echo);
     let had_lost_sets =
         member.reports.iter().any(|received| received.report.is_primary_unreachable);
     member.record_reports(heartbeat.reports, now_us);
@@ -116,6 +121,9 @@
             tables.actions.push(Action::ProbePrimary { replica_set });
         }
     }
+    if let (Some(sample), Some(echoed_us)) = (heartbeat.sample, echoed_us) {
+        position_samples::received(tables, sample, echoed_us);
+    }
 }
 
 /// Adds the sender if it is unknown. The fleet may have dropped it while it was suspended, and
@@ -188,8 +196,9 @@
     if due.is_empty() && !is_due {
         return;
     }
+    let sample = position_samples::next_sample(tables, now_us);
     for name in due {
-        send(tables, &name, now_us);
+        send(tables, &name, &sample, now_us);
     }
     if is_due {
         let is_small = tables.members.len() < SMALL_FLEET;
@@ -205,7 +214,7 @@
     proxies <= GOSSIP_FANOUT || rendezvous::is_selected(&round, name, GOSSIP_FANOUT, proxies)
 }
 
-fn send(tables: &mut Tables, name: &Bytes, now_us: u64) {
+fn send(tables: &mut Tables, name: &Bytes, sample: &Option<PositionSample>, now_us: u64) {
     tables.heartbeat_sequence += 1;
     let Some(member) = tables.members.get(name) else { return };
     let reports = set_reports::reports_since(tables, member.confirmed_sets_version, now_us);
@@ -224,6 +233,7 @@
         sets_base_version: member.confirmed_sets_version,
         sets_version: tables.sets_version,
         sets_version_echo: member.received_sets_version,
+        sample: sample.clone(),
     };
     let message = PeerMessage::Heartbeat(heartbeat);
     tables.actions.push(Action::Send { address: member.address, message });
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -63,7 +63,7 @@
             records::acknowledge_claim(tables, &replica_set, now_us);
         }
         PeerMessage::Primary { replica_set, instance, term } => {
-            search::primary_named(tables, &replica_set, &instance, term, "another proxy");
+            search::primary_named(tables, &replica_set, &instance, term, "another proxy", now_us);
         }
         PeerMessage::Promoting { replica_set, fencing_token, instance } => {
             stalled_failovers::promotion_announced(tables, &replica_set, fencing_token, instance);
@@ -81,7 +81,7 @@
 fn apply_report(tables: &mut Tables, report: Report, now_us: u64) {
     match report {
         Report::PrimaryAlive { replica_set, instance, at_us, position } => {
-            detection::primary_reached(tables, &replica_set, &instance, at_us, position);
+            detection::primary_reached(tables, &replica_set, &instance, at_us, position, now_us);
         }
         Report::PrimaryUnreachable { replica_set, instance, since_us } => {
             detection::primary_unreachable(tables, &replica_set, &instance, since_us);
--- a/crates/pool/src/control/systems/records.rs
+++ b/crates/pool/src/control/systems/records.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use flamingorock_core::{Position, Term};
 
-use super::super::known_primary::KnownPrimary;
 use super::super::replica_set_state::{KnownRecord, ReplicaSetState};
 use super::super::tables::{Tables, display_name};
 use super::super::{Action, PeerMessage, PromotionRecord, PromotionState, SilentPeer, StateChange};
@@ -46,8 +45,7 @@
                 term: term.0,
                 source,
             });
-            set.known_primary = KnownPrimary::Leader { instance: instance.clone(), term: *term };
-            set.unreachable_since_us = None;
+            set.set_primary(instance.clone(), *term, now_us);
             set.primary_seen_us = now_us;
             set.failover = None;
             // The traffic thread uses the new primary from here on. After a claim alone, the old
--- a/crates/pool/src/control/systems/search.rs
+++ b/crates/pool/src/control/systems/search.rs
@@ -57,7 +57,14 @@
 ) {
     let is_primary = status.role == ReplicationRole::Primary;
     if is_primary
-        && set_primary(tables, &call.replica_set, &call.instance, status.term, "the instance")
+        && set_primary(
+            tables,
+            &call.replica_set,
+            &call.instance,
+            status.term,
+            "the instance",
+            now_us,
+        )
     {
         if let Some(set) = tables.replica_sets.get_mut(&call.replica_set) {
             set.primary_seen_us = now_us;
@@ -75,11 +82,12 @@
     instance: &Bytes,
     term: Term,
     source: &'static str,
+    now_us: u64,
 ) {
     let is_listed =
         tables.replica_sets.get(name).is_some_and(|set| set.instances.contains_key(instance));
     if is_listed {
-        set_primary(tables, name, instance, term, source);
+        set_primary(tables, name, instance, term, source, now_us);
     }
 }
 
@@ -90,6 +98,7 @@
     instance: &Bytes,
     term: Term,
     source: &'static str,
+    now_us: u64,
 ) -> bool {
     let Some(set) = tables.replica_sets.get_mut(name) else { return false };
     let KnownPrimary::Unknown { .. } = set.known_primary else { return false };
@@ -97,8 +106,7 @@
     if term < lowest || set.is_replacing() {
         return false;
     }
-    set.known_primary = KnownPrimary::Leader { instance: instance.clone(), term };
-    set.unreachable_since_us = None;
+    set.set_primary(instance.clone(), term, now_us);
     tables.changes.push(StateChange::Primary {
         replica_set: display_name(name),
         instance: display_name(instance),
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -79,6 +79,8 @@
     pub is_heartbeat_urgent: bool,
     /// Whether to send heartbeats to a few proxies at once, which pass the news on.
     pub is_gossip_due: bool,
+    /// Index of the replica set whose turn it is to have a position sent.
+    pub sample_turn: usize,
     /// Version of what this proxy knows about the replica sets; each change raises it.
     pub sets_version: u64,
     /// Whether the published view may be out of date.
@@ -123,8 +125,8 @@
             next_heartbeat_us: 0,
             is_heartbeat_urgent: false,
             is_gossip_due: false,
-            // Starts at the incarnation, like the sequence number.
-            sets_version: heartbeat_sequence,
+            sample_turn: 0,
+            sets_version: 0,
             is_view_outdated: false,
             view_sequence: 0,
             is_ready: false,
--- a/crates/pool/src/traffic/event.rs
+++ b/crates/pool/src/traffic/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use flamingorock_core::Position;
+use flamingorock_core::{Position, Term};
 
 use super::{Query, Response};
 use crate::{ConnectionKey, ErrorCode, InstanceCall, PoolView, SessionKey};
@@ -73,6 +73,17 @@
         /// Name of the replica set.
         replica_set: Bytes,
     },
+    /// Another proxy has seen a position at a primary.
+    PrimaryPosition {
+        /// Name of the replica set.
+        replica_set: Bytes,
+        /// Term of the primary.
+        term: Term,
+        /// The position covers every commit acknowledged before this time.
+        at_us: u64,
+        /// Position of the primary's log.
+        position: Position,
+    },
     /// The process is shutting down.
     Stop {
         /// Time from which sessions without an open transaction are closed.
--- a/crates/pool/src/traffic/instance.rs
+++ b/crates/pool/src/traffic/instance.rs
@@ -34,6 +34,8 @@
     pub connect_after_us: u64,
     /// Failed connection attempts since the last connection became ready.
     pub connect_failures: u32,
+    /// Moving average of the time from the startup command to its confirmation.
+    pub setup_time_us: u64,
     /// Until this time the instance is considered to have reached its connection limit.
     pub exhausted_until_us: u64,
     /// No statement is sent before this time, because the instance refused one for lack of
@@ -54,6 +56,15 @@
     /// Inverse weight of a new sample in the exponentially weighted moving average.
     const EWMA_DIVISOR: u64 = 8;
 
+    /// Setup time assumed before the first connection.
+    pub const DEFAULT_SETUP_TIME_US: u64 = 10_000;
+
+    /// Updates the setup time with that of a new connection.
+    pub fn record_setup(&mut self, setup_time_us: u64) {
+        self.setup_time_us =
+            (self.setup_time_us * (Self::EWMA_DIVISOR - 1) + setup_time_us) / Self::EWMA_DIVISOR;
+    }
+
     /// Updates the failure rate with the result of a statement.
     pub fn record_failure(&mut self, failed: bool) {
         let observed = if failed { 1000 } else { 0 };
--- a/crates/pool/src/traffic/systems/configuration.rs
+++ b/crates/pool/src/traffic/systems/configuration.rs
@@ -117,6 +117,7 @@
         is_unreachable: false,
         connect_after_us: 0,
         connect_failures: 0,
+        setup_time_us: Instance::DEFAULT_SETUP_TIME_US,
         exhausted_until_us: 0,
         busy_until_us: 0,
         failure_permille: 0,
--- a/crates/pool/src/traffic/systems/connections.rs
+++ b/crates/pool/src/traffic/systems/connections.rs
@@ -1,6 +1,7 @@
 //! Opens connections to instances and detects failures from their responses.
 
-use flamingorock_core::Position;
+use bytes::Bytes;
+use flamingorock_core::{Position, Term};
 
 use super::super::connection::{Connection, ConnectionState};
 use super::super::replica_set::PrimaryState;
@@ -76,6 +77,7 @@
     let sent_us = connection.last_used_us;
     if let Some(row) = tables.instances.get_mut(instance) {
         row.connect_failures = 0;
+        row.record_setup(now_us.saturating_sub(sent_us));
     }
     record_response(tables, instance, sent_us, position, now_us);
 }
@@ -139,6 +141,23 @@
     connection_loss::report_primary_unreachable(tables, key);
 }
 
+/// Records a position that another proxy has seen at the primary. This proxy's permit tells that it
+/// knows of every failover that has begun since.
+pub fn record_shared_position(
+    tables: &mut Tables,
+    name: &Bytes,
+    term: Term,
+    at_us: u64,
+    position: Position,
+) {
+    let Some(key) = tables.replica_set_by_name(name) else { return };
+    let Some(set) = tables.replica_sets.get_mut(key) else { return };
+    if set.state == PrimaryState::Serving && set.term == term {
+        set.positions.record(at_us, position);
+        set.term_start_position.get_or_insert(position);
+    }
+}
+
 /// Records that an instance responded at `now_us` to a command sent at `sent_us`, with the log
 /// position that it reported.
 pub fn record_response(
--- a/crates/pool/src/traffic/systems/event_handling.rs
+++ b/crates/pool/src/traffic/systems/event_handling.rs
@@ -42,6 +42,9 @@
         Event::ProbePrimary { replica_set } => {
             maintenance::probe_primary(tables, &replica_set, now_us)
         }
+        Event::PrimaryPosition { replica_set, term, at_us, position } => {
+            connections::record_shared_position(tables, &replica_set, term, at_us, position);
+        }
         Event::Stop { close_idle_us, abort_us } => {
             tables.shutdown = Some(Shutdown { close_idle_us, abort_us, reported: false });
             tables.timers.add(close_idle_us, Timer::Wakeup);
--- a/crates/pool/src/traffic/systems/replica_placement.rs
+++ b/crates/pool/src/traffic/systems/replica_placement.rs
@@ -16,6 +16,8 @@
 /// Age up to which the last measured lag of a replica is considered current. Time beyond that is
 /// added to the lag.
 const LAG_VALIDITY_US: u64 = 150_000;
+/// Age from which the position of a replica without connections says nothing about its lag.
+pub const OBSERVATION_VALID_US: u64 = 2_000_000;
 /// Allowance for variation of the lag.
 const LAG_MARGIN_US: u64 = 10_000;
 
@@ -58,7 +60,7 @@
     for key in set.instances.iter().copied().filter(|key| set.primary != Some(*key)) {
         match eligibility(tables, set, key, request, position, read_time_us, now_us) {
             Eligibility::Eligible => {
-                let expected_latency_us = expected_latency_us(tables, key);
+                let expected_latency_us = expected_latency_us(tables, session, key);
                 if best.is_none_or(|(best_us, _)| expected_latency_us < best_us) {
                     best = Some((expected_latency_us, key));
                 }
@@ -109,7 +111,7 @@
         || instance.is_failing()
         || instance.suspected_since_us.is_some()
         || (request.avoided_instance == Some(key) && request.attempts > 0);
-    if is_unusable || !is_fresh(set, instance, position, read_time_us, now_us) {
+    if is_unusable || !is_fresh(tables, set, instance, position, read_time_us, now_us) {
         return Eligibility::Ineligible;
     }
     let is_busy = now_us < instance.busy_until_us
@@ -119,20 +121,32 @@
 
 /// Whether a replica's log probably covers all commits before `read_time_us`: it had reached
 /// `position` when last seen, or its lag at that time was short enough.
+///
+/// A replica that this proxy has not asked lately is taken to be fresh. In a large fleet most
+/// proxies have no connection to a given replica, and all their reads would go to the primary. The
+/// read carries `position`, so that a replica that is behind refuses it.
 pub fn is_fresh(
+    tables: &Tables,
     set: &ReplicaSet,
     instance: &Instance,
     position: Position,
     read_time_us: u64,
     now_us: u64,
 ) -> bool {
-    let Some((seen_us, seen)) = instance.observed_position else { return false };
+    let is_connected = tables.is_connected(instance);
+    let Some((seen_us, seen)) = instance.observed_position else { return !is_connected };
     if seen >= position {
         return true;
     }
+    if !is_connected && now_us >= seen_us + OBSERVATION_VALID_US {
+        return true;
+    }
     let Some(lag_us) = lag_us(set, instance) else { return false };
-    // The lag may vary, and a replica that has not responded lately may have stopped receiving.
-    let silent_us = now_us.saturating_sub(seen_us).saturating_sub(LAG_VALIDITY_US);
+    // The lag may vary, and a replica that does not respond may have stopped receiving.
+    let silent_us = match is_connected {
+        true => now_us.saturating_sub(seen_us).saturating_sub(LAG_VALIDITY_US),
+        false => 0,
+    };
     let horizon_us = now_us.saturating_sub(lag_us + lag_us / 2 + silent_us + LAG_MARGIN_US);
     horizon_us >= read_time_us
 }
@@ -144,8 +158,10 @@
     Some(seen_us.saturating_sub(covered_us))
 }
 
-/// Expected time until a response, by which replicas are compared.
-fn expected_latency_us(tables: &Tables, key: InstanceKey) -> u64 {
+/// Expected time until a response, by which replicas are compared. It includes the setup of a
+/// connection if none is idle: in a large fleet a proxy keeps connections to few instances, and each
+/// setup occupies an execution slot.
+fn expected_latency_us(tables: &Tables, session: &Session, key: InstanceKey) -> u64 {
     const REMOTE_DATA_CENTRE_US: u64 = 1_000;
     /// Response time assumed for an instance that has not responded yet.
     const DEFAULT_RESPONSE_TIME_US: u64 = 1_000;
@@ -153,7 +169,11 @@
     let running = u64::from(tables.running_statements(instance));
     let distance_us = if instance.in_same_data_centre { 0 } else { REMOTE_DATA_CENTRE_US };
     let response_time_us = instance.congestion.response_time_us().max(DEFAULT_RESPONSE_TIME_US);
-    response_time_us * (running + 1) + distance_us
+    let setup_us = match tables.idle_connection(key, &session.variables) {
+        Some(_) => 0,
+        None => instance.setup_time_us,
+    };
+    response_time_us * (running + 1) + distance_us + setup_us
 }
 
 /// Whether this proxy runs nothing at the primary, so that it may take a read for which every fresh
--- a/crates/pool/src/traffic/systems/replica_reports.rs
+++ b/crates/pool/src/traffic/systems/replica_reports.rs
@@ -15,7 +15,7 @@
 pub fn report_change(tables: &mut Tables, key: InstanceKey, now_us: u64) {
     let Some(instance) = tables.instances.get(key) else { return };
     let Some(set) = tables.replica_sets.get(instance.replica_set) else { return };
-    let state = state(set, instance, now_us);
+    let state = state(tables, set, instance, now_us);
     let is_primary = set.primary == Some(key);
     let is_rate_limited = now_us < instance.state_reported_us + REPORT_INTERVAL_US;
     if is_primary || state == instance.reported_state || is_rate_limited {
@@ -35,12 +35,17 @@
     }
 }
 
-fn state(set: &ReplicaSet, instance: &Instance, now_us: u64) -> ReplicaState {
+fn state(tables: &Tables, set: &ReplicaSet, instance: &Instance, now_us: u64) -> ReplicaState {
     if instance.is_leaving {
         return ReplicaState::Leaving;
     }
     if instance.connections.is_empty() && !instance.is_unreachable {
-        return ReplicaState::Unknown;
+        // Otherwise a replica that is behind would be connected again as soon as its connection has
+        // been closed.
+        let is_current = instance
+            .observed_position
+            .is_some_and(|(seen_us, _)| now_us < seen_us + replica_placement::OBSERVATION_VALID_US);
+        return if is_current { instance.reported_state } else { ReplicaState::Unknown };
     }
     if instance.is_unreachable || instance.suspected_since_us.is_some() {
         return ReplicaState::Silent;
@@ -50,7 +55,7 @@
     }
     let read_time_us = placement::read_time_us(set.max_staleness_us, now_us);
     let Some(position) = set.positions.covering(read_time_us) else { return ReplicaState::Unknown };
-    match replica_placement::is_fresh(set, instance, position, read_time_us, now_us) {
+    match replica_placement::is_fresh(tables, set, instance, position, read_time_us, now_us) {
         true => ReplicaState::Used,
         false => ReplicaState::Behind,
     }
--- a/crates/pool/src/traffic/tables.rs
+++ b/crates/pool/src/traffic/tables.rs
@@ -139,6 +139,11 @@
         instance.connections.iter().filter(is_running).count() as u32
     }
 
+    /// Whether an instance has accepted a connection that is still open.
+    pub fn is_connected(&self, instance: &Instance) -> bool {
+        instance.connections.len() > self.opening_connections(instance)
+    }
+
     /// Number of connections to an instance that are being opened.
     pub fn opening_connections(&self, instance: &Instance) -> usize {
         let is_opening = |key: &&ConnectionKey| {
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -38,6 +38,7 @@
         sets_base_version: 0,
         sets_version: 1,
         sets_version_echo: 0,
+        sample: None,
     };
     connected.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
     for message in connected.messages() {
--- a/crates/pool/tests/fleet/world.rs
+++ b/crates/pool/tests/fleet/world.rs
@@ -6,7 +6,7 @@
 mod store_calls;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -41,6 +41,12 @@
 const PROMOTE_US: u64 = 100_000;
 const LAG_US: u64 = 20_000;
 const THINK_US: u64 = 25_000;
+const STRICT_DB: &str = "strict";
+const STALE_DB: &str = "stale";
+/// Age that reads of the stale database accept.
+const MAX_STALENESS_US: u64 = 600_000;
+/// Statement of a read that accepts it.
+const STALE_READ: &str = "READ stale";
 
 fn bytes(text: &str) -> Bytes {
     Bytes::copy_from_slice(text.as_bytes())
@@ -125,6 +131,8 @@
     is_up: bool,
     frozen_until_us: u64,
     connections: BTreeMap<ConnectionKey, usize>,
+    /// Sessions that only read, and accept answers of a bounded age.
+    stale_sessions: BTreeSet<SessionKey>,
     /// Calls to the store without a response.
     calls: Vec<(StoreCall, u64)>,
 }
@@ -136,6 +144,8 @@
     /// Acknowledged writes by proxy.
     pub acknowledged_by_proxy: [u64; PROXIES],
     pub promotions: u64,
+    /// Reads that ran at an instance that is not the primary.
+    pub replica_reads: u64,
     pub violations: Vec<String>,
 }
 
@@ -246,6 +256,7 @@
             is_up: true,
             frozen_until_us: 0,
             connections: BTreeMap::new(),
+            stale_sessions: BTreeSet::new(),
             calls: Vec::new(),
         }
     }
@@ -263,7 +274,12 @@
     fn open_session(&mut self, index: usize, incarnation: u64) {
         let proxy = &mut self.proxies[index];
         let session = proxy.traffic.open_session();
-        proxy.traffic.push(Event::SessionStart { session, database: bytes("strict") });
+        let is_stale = self.random.chance(30);
+        let database = if is_stale { STALE_DB } else { STRICT_DB };
+        if is_stale {
+            proxy.stale_sessions.insert(session);
+        }
+        proxy.traffic.push(Event::SessionStart { session, database: bytes(database) });
         self.tick(index);
         self.schedule(THINK_US, Scheduled::Think { proxy: index, incarnation, session });
     }
@@ -460,6 +476,10 @@
             ControlAction::ProbePrimary { replica_set } => {
                 self.proxies[index].traffic.push(Event::ProbePrimary { replica_set });
             }
+            ControlAction::PassPosition { replica_set, term, at_us, position } => {
+                let event = Event::PrimaryPosition { replica_set, term, at_us, position };
+                self.proxies[index].traffic.push(event);
+            }
             ControlAction::SetReady(_)
             | ControlAction::StopTraffic { .. }
             | ControlAction::Exit => {}
@@ -548,17 +568,24 @@
     bytes(&format!("idle-{index}"))
 }
 
+fn database(name: &str, read_policy: ReadPolicy) -> DatabaseConfig {
+    DatabaseConfig {
+        name: bytes(name),
+        replica_set: bytes(SET),
+        read_policy,
+        statement_timeout_us: 800 * MILLISECOND_US,
+        target_latency_us: 100 * MILLISECOND_US,
+        rank: 0,
+    }
+}
+
 fn configuration() -> StoreContent {
     StoreContent::Configuration(Configuration {
         version: 1,
-        databases: vec![DatabaseConfig {
-            name: bytes("strict"),
-            replica_set: bytes(SET),
-            read_policy: ReadPolicy::Primary,
-            statement_timeout_us: 800 * MILLISECOND_US,
-            target_latency_us: 100 * MILLISECOND_US,
-            rank: 0,
-        }],
+        databases: vec![
+            database(STRICT_DB, ReadPolicy::Primary),
+            database(STALE_DB, ReadPolicy::BoundedStaleness { max_staleness_us: MAX_STALENESS_US }),
+        ],
         replica_sets: (0..IDLE_SETS)
             .map(idle_set)
             .chain([bytes(SET)])
--- a/crates/pool/tests/fleet/world/callers.rs
+++ b/crates/pool/tests/fleet/world/callers.rs
@@ -3,13 +3,13 @@
 use super::*;
 
 impl World {
-    /// A strict read must see every commit that was acknowledged before it was sent.
-    pub(super) fn check_read(&mut self, instance: usize, sent_us: u64) {
+    /// A read must see every commit that was acknowledged before `horizon_us`.
+    pub(super) fn check_read(&mut self, instance: usize, horizon_us: u64) {
         let log = &self.instances[instance].log;
         let missing = self
             .acknowledged
             .iter()
-            .find(|(at_us, commit)| *at_us < sent_us && !log.contains(commit));
+            .find(|(at_us, commit)| *at_us < horizon_us && !log.contains(commit));
         if let Some((at_us, commit)) = missing {
             // The proxy may still discard the response. Only a delivered one is a violation.
             let line = format!(
@@ -21,8 +21,13 @@
     }
 
     pub(super) fn send_query(&mut self, index: usize, session: SessionKey) {
-        let is_write = self.random.chance(40);
-        let text = if is_write { "WRITE 1 x" } else { "READ 1" };
+        let is_stale = self.proxies[index].stale_sessions.contains(&session);
+        let is_write = !is_stale && self.random.chance(40);
+        let text = match (is_write, is_stale) {
+            (true, _) => "WRITE 1 x",
+            (false, true) => STALE_READ,
+            (false, false) => "READ 1",
+        };
         let statement = if is_write { Statement::Write } else { Statement::Read };
         let query = Query { id: bytes("id"), text: bytes(text), statement };
         let proxy = &mut self.proxies[index];
--- a/crates/pool/tests/fleet/world/instances.rs
+++ b/crates/pool/tests/fleet/world/instances.rs
@@ -62,7 +62,10 @@
                     let id = self.commit(instance);
                     outcome = ResponseOutcome::Complete { signature: bytes(&id.to_string()) };
                 } else {
-                    self.check_read(instance, sent_us);
+                    let is_stale = text == STALE_READ;
+                    let staleness_us = if is_stale { MAX_STALENESS_US } else { 0 };
+                    self.outcome.replica_reads += u64::from(!self.instances[instance].is_primary);
+                    self.check_read(instance, sent_us.saturating_sub(staleness_us));
                 }
             }
             Command::StepDown(term) => {
--- a/crates/pool/tests/heartbeats.rs
+++ b/crates/pool/tests/heartbeats.rs
@@ -96,6 +96,7 @@
             sets_base_version: self.sets_base_version,
             sets_version: self.sets_base_version + 1,
             sets_version_echo: self.received_version,
+            sample: None,
         };
         self.world.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
     }
@@ -216,6 +217,7 @@
         sets_base_version: 0,
         sets_version: 1,
         sets_version_echo: 0,
+        sample: None,
     };
     world.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
     let sent = world.messages().into_iter().find_map(|message| match message {
--- a/crates/pool/tests/odd_entries.rs
+++ b/crates/pool/tests/odd_entries.rs
@@ -65,6 +65,7 @@
                     sets_base_version: 0,
                     sets_version: 1,
                     sets_version_echo: 0,
+                    sample: None,
                 };
                 self.world.control.push(Event::Peer(PeerMessage::Heartbeat(echo)));
             }
--- a/crates/pool/tests/traffic_support/mod.rs
+++ b/crates/pool/tests/traffic_support/mod.rs
@@ -190,17 +190,22 @@
 
     /// Completes the startup of the connections opened since the last call.
     pub fn connect_new(&mut self, position: Position) {
-        let new: Vec<ConnectionKey> = self
+        self.connect_new_at(|_| position);
+    }
+
+    /// Like [`Self::connect_new`], with a position for each instance.
+    pub fn connect_new_at(&mut self, position: impl Fn(&str) -> Position) {
+        let new: Vec<OpenConnection> = self
             .connections
             .iter()
             .filter(|row| !self.started.contains(&row.key))
-            .map(|row| row.key)
+            .cloned()
             .collect();
-        for connection in new {
+        for OpenConnection { key: connection, instance, .. } in new {
             self.started.push(connection);
             self.machine.push(Event::Connected { connection });
             self.tick();
-            let position = Some(position);
+            let position = Some(position(instance));
             self.machine.push(Event::ConnectionStarted { connection, position });
             self.tick();
         }
