Call the store less often in a large fleet

The store counts as unreachable when calls have failed for 1.3 s instead of after 2 s without a response, since a proxy that calls rarely has longer silences.

--- a/crates/pool/src/control/systems/mirror.rs
+++ b/crates/pool/src/control/systems/mirror.rs
@@ -16,8 +16,8 @@
 /// Watch time for each proxy of a large fleet. The proxies' watches end at different times, and the
 /// first that ends tells the others of a newer version.
 const WATCH_WAIT_MS_PER_PROXY: u64 = 600;
-/// Upper limit of the watch time.
-const WATCH_WAIT_MAX_MS: u64 = 20_000;
+/// Upper limit of the watch time, which is the platform's.
+const WATCH_WAIT_MAX_MS: u64 = 30_000;
 /// Shortest delay of the next watch after changes that may wait. Without it, each proxy or instance
 /// that registers during a start of the fleet would end the watches of all proxies.
 const BATCH_DELAY_US: u64 = 300_000;
@@ -25,7 +25,9 @@
 /// the watches of all proxies.
 const BATCH_DELAY_US_PER_PROXY: u64 = 25_000;
 /// Upper limit of the delay of the next watch.
-const BATCH_DELAY_MAX_US: u64 = 1_000_000;
+const BATCH_DELAY_MAX_US: u64 = 3_000_000;
+/// The same while an instance is missing, whose entry may return.
+const MISSING_BATCH_DELAY_MAX_US: u64 = 1_000_000;
 /// Time beyond the requested wait after which a watch is abandoned.
 const WATCH_SLACK_US: u64 = 400_000;
 /// Time after which the read of a page is abandoned.
@@ -34,8 +36,8 @@
 const BACKOFF_US: u64 = 50_000;
 /// Upper limit of the delay after failed calls.
 const BACKOFF_MAX_US: u64 = 400_000;
-/// Time without a response after which the store counts as unreachable.
-const UNREACHABLE_US: u64 = 2_000_000;
+/// Time for which every call has failed after which the store counts as unreachable.
+const UNREACHABLE_US: u64 = 1_300_000;
 /// Time for the watch to deliver a version that another proxy has reported.
 const MISSED_VERSION_US: u64 = 300_000;
 
@@ -65,7 +67,10 @@
 /// Delay of the next watch after changes that may wait, by the size of the fleet.
 fn batch_delay_us(tables: &Tables, now_us: u64) -> u64 {
     let size = tables.fleet_size(now_us) as u64;
-    (BATCH_DELAY_US_PER_PROXY * size).clamp(BATCH_DELAY_US, BATCH_DELAY_MAX_US)
+    let mut instances = tables.replica_sets.values().flat_map(|set| set.instances.values());
+    let is_any_missing = instances.any(|instance| instance.missing_since_us.is_some());
+    let longest_us = if is_any_missing { MISSING_BATCH_DELAY_MAX_US } else { BATCH_DELAY_MAX_US };
+    (BATCH_DELAY_US_PER_PROXY * size).clamp(BATCH_DELAY_US, longest_us)
 }
 
 /// Wait of the next watch: half to all of the limit for the size of the fleet, spread by a hash of
@@ -102,7 +107,8 @@
 }
 
 fn record_silence(tables: &mut Tables, now_us: u64) {
-    let silence_us = now_us.saturating_sub(tables.mirror.last_response_us);
+    let Some(failing_since_us) = tables.mirror.failing_since_us else { return };
+    let silence_us = now_us.saturating_sub(failing_since_us);
     if silence_us > UNREACHABLE_US && !tables.mirror.is_store_unreachable {
         tables.mirror.is_store_unreachable = true;
         tables.changes.push(StateChange::StoreLost { silence_ms: silence_us / 1000 });
@@ -113,16 +119,15 @@
 /// contact.
 pub fn record_contact(tables: &mut Tables, response: &StoreResponse, now_us: u64) {
     if matches!(response.outcome, StoreOutcome::Rejected | StoreOutcome::Unknown) {
+        tables.mirror.failing_since_us.get_or_insert(now_us);
         return;
     }
-    let silence_us = now_us.saturating_sub(tables.mirror.last_response_us);
+    let Some(failing_since_us) = tables.mirror.failing_since_us.take() else { return };
+    let silence_us = now_us.saturating_sub(failing_since_us);
     if core::mem::take(&mut tables.mirror.is_store_unreachable) {
         tables.changes.push(StateChange::StoreRegained { silence_ms: silence_us / 1000 });
-    }
-    if silence_us > UNREACHABLE_US {
         tables.mirror.contact_since_us = now_us;
     }
-    tables.mirror.last_response_us = now_us;
 }
 
 pub fn response_received(tables: &mut Tables, response: StoreResponse, now_us: u64) {
--- a/crates/pool/src/control/systems/publishing.rs
+++ b/crates/pool/src/control/systems/publishing.rs
@@ -12,9 +12,9 @@
 
 /// Time that open transactions have to finish at a working primary before its failover.
 const DRAIN_US: u64 = 500_000;
-/// Time without a response from the store after which a claim is not expected to succeed at once.
-/// Lease renewals get responses more often than this.
-const STORE_SILENT_US: u64 = 1_500_000;
+/// Time for which calls to the store have failed after which a claim is not expected to succeed at
+/// once.
+const STORE_FAILING_US: u64 = 300_000;
 /// Granularity of the time at which an unreachable primary is expected to be replaced.
 const EXPECTED_STEP_US: u64 = 100_000;
 
@@ -112,8 +112,10 @@
 /// change with each tick. The estimate assumes that the claim can be written, which requires the
 /// store.
 fn expected_us(tables: &Tables, set: &ReplicaSetState, since_us: u64, now_us: u64) -> u64 {
-    let is_store_silent = now_us > tables.mirror.last_response_us + STORE_SILENT_US;
-    let begin_us = if is_store_silent { now_us } else { since_us };
+    let failing_since_us = tables.mirror.failing_since_us;
+    let is_store_failing =
+        failing_since_us.is_some_and(|failing_us| now_us > failing_us + STORE_FAILING_US);
+    let begin_us = if is_store_failing { now_us } else { since_us };
     let begin_us = begin_us.max(now_us.saturating_sub(set.failover_duration_us / 2));
     begin_us.div_ceil(EXPECTED_STEP_US) * EXPECTED_STEP_US + set.failover_duration_us
 }
--- a/crates/pool/src/control/tables.rs
+++ b/crates/pool/src/control/tables.rs
@@ -34,8 +34,9 @@
     pub is_complete: bool,
     /// Keys that the current listing has returned.
     pub listed_keys: Vec<super::StoreKey>,
-    /// Last response of the store, and since when it has responded without interruption.
-    pub last_response_us: u64,
+    /// Since when every call has failed, `None` after a response.
+    pub failing_since_us: Option<u64>,
+    /// Since when the store has responded without interruption.
     pub contact_since_us: u64,
     pub is_store_unreachable: bool,
     /// Since when another proxy is known to have newer data.
@@ -108,7 +109,7 @@
                 failures: 0,
                 is_complete: false,
                 listed_keys: Vec::new(),
-                last_response_us: now_us,
+                failing_since_us: None,
                 contact_since_us: now_us,
                 is_store_unreachable: false,
                 behind_since_us: None,
--- a/crates/pool/tests/control.rs
+++ b/crates/pool/tests/control.rs
@@ -22,10 +22,8 @@
     let mut connected = World::new();
     connected.list(vec![member(1, 4), instance("new")]);
     let mut isolated = World::new();
-    isolated.list(Vec::new());
-    isolated.mirror_calls();
-    isolated.now_us = 2_500 * MILLISECOND_US;
-    isolated.mirror_calls();
+    isolated.start(Vec::new());
+    assert_eq!(isolated.run_without_store(2_500), 1);
     let heartbeat = Heartbeat {
         from: bytes("proxy-1"),
         address: peer_address(),
@@ -52,9 +50,8 @@
 #[test]
 fn primary_without_an_address_is_reachable_by_others() {
     let mut world = World::new();
-    world.list(Vec::new());
-    world.mirror_calls();
-    world.now_us = 2_500 * MILLISECOND_US;
+    world.start(Vec::new());
+    assert_eq!(world.run_without_store(2_500), 1);
     let state = PromotionState::Done { instance: bytes("new"), term: Term(2) };
     let record = PromotionRecord {
         fencing_token: 1,
@@ -192,3 +189,70 @@
     let calls = world.mirror_calls();
     assert!(matches!(calls[..], [StoreCall::Watch { after_revision: 41, .. }]), "{calls:?}");
 }
+
+/// Guards against a large fleet whose proxies renew their leases as often as those of a small one,
+/// and against a proxy that takes the store for unreachable because it calls it rarely.
+#[test]
+fn proxy_of_a_large_fleet_calls_the_store_rarely() {
+    let mut counts = Vec::new();
+    for proxies in [5, 117] {
+        let mut world = World::new();
+        world.start((1..proxies).map(|index| member(index, index)).collect());
+        counts.push((proxies, calls_within(&mut world, 40_000)));
+    }
+    insta::assert_snapshot!(format!("{counts:#?}"));
+}
+
+/// Calls to the store that a proxy makes while nothing changes, and whether it lost the store.
+fn calls_within(world: &mut World, span_ms: u64) -> Vec<(&'static str, usize)> {
+    let (mut watches, mut renewals, mut lost) = (0, 0, 0);
+    let mut waiting: Vec<(u64, StoreCall)> = Vec::new();
+    for _ in 0..span_ms / 10 {
+        world.now_us += 10 * MILLISECOND_US;
+        world.control.tick(world.now_us);
+        let mut changes = Vec::new();
+        world.control.take_changes(&mut changes);
+        lost += changes.iter().filter(|change| change.name() == "store_lost").count();
+        let mut actions = Vec::new();
+        world.control.take_actions(&mut actions);
+        for action in actions {
+            let Action::Store { call, .. } = action else { continue };
+            match &call {
+                StoreCall::Watch { wait_ms, .. } => {
+                    watches += 1;
+                    let due_us = world.now_us + u64::from(*wait_ms) * MILLISECOND_US;
+                    waiting.push((due_us, call));
+                }
+                StoreCall::GrantLease { .. } => {
+                    world.respond(call, StoreOutcome::Lease { lease: 7 });
+                }
+                StoreCall::RenewLease { .. } => {
+                    renewals += 1;
+                    world.respond(call, StoreOutcome::Lease { lease: 0 });
+                }
+                StoreCall::WriteMember { .. } => {
+                    world.respond(call, StoreOutcome::Written { revision: 41 });
+                }
+                _ => {}
+            }
+        }
+        let now_us = world.now_us;
+        let (due, rest) = waiting.into_iter().partition(|(due_us, _)| *due_us <= now_us);
+        waiting = rest;
+        let due: Vec<(u64, StoreCall)> = due;
+        for (_, call) in due {
+            world.respond(call, StoreOutcome::Changes { items: Vec::new(), as_of: 41 });
+        }
+    }
+    vec![("watches", watches), ("renewals", renewals), ("losses of the store", lost)]
+}
+
+/// Guards against a proxy that does not notice that the store is unreachable because it calls it
+/// rarely, so that it neither sends its callers elsewhere nor asks for the instances.
+#[test]
+fn loss_of_the_store_is_noticed_within_four_seconds() {
+    let mut world = World::new();
+    world.start((1..117).map(|index| member(index, index)).collect());
+    calls_within(&mut world, 10_000);
+    assert_eq!(world.run_without_store(4_000), 1);
+}
--- a/crates/pool/tests/control_support/mod.rs
+++ b/crates/pool/tests/control_support/mod.rs
@@ -67,6 +67,50 @@
             .collect()
     }
 
+    /// Ticks and returns all calls to the store.
+    pub fn store_calls(&mut self) -> Vec<StoreCall> {
+        self.control.tick(self.now_us);
+        let mut actions = Vec::new();
+        self.control.take_actions(&mut actions);
+        let calls = actions.into_iter().filter_map(|action| match action {
+            Action::Store { call, .. } => Some(call),
+            _ => None,
+        });
+        calls.collect()
+    }
+
+    /// Registers the proxy and answers its first listing.
+    pub fn start(&mut self, mut items: Vec<StoreItem>) {
+        let content = StoreContent::Configuration(configuration(vec![bytes("set")]));
+        items.push(StoreItem { key: StoreKey::Configuration, revision: 2, content });
+        for call in self.store_calls() {
+            let outcome = match &call {
+                StoreCall::List { .. } => {
+                    let items = core::mem::take(&mut items);
+                    StoreOutcome::Page { items, as_of: 40, next: None }
+                }
+                _ => StoreOutcome::Lease { lease: 7 },
+            };
+            self.respond(call, outcome);
+        }
+    }
+
+    /// Lets every call to the store fail for a time, and returns how often the proxy concluded that
+    /// the store is unreachable.
+    pub fn run_without_store(&mut self, span_ms: u64) -> usize {
+        let mut lost = 0;
+        for _ in 0..span_ms / 10 {
+            self.now_us += 10 * MILLISECOND_US;
+            for call in self.store_calls() {
+                self.respond(call, StoreOutcome::Unknown);
+            }
+            let mut changes = Vec::new();
+            self.control.take_changes(&mut changes);
+            lost += changes.iter().filter(|change| change.name() == "store_lost").count();
+        }
+        lost
+    }
+
     pub fn respond(&mut self, call: StoreCall, outcome: StoreOutcome) {
         let response = StoreResponse { call, sent_us: self.now_us, outcome };
         self.control.push(Event::Store(Box::new(response)));
--- a/crates/pool/tests/heartbeats.rs
+++ b/crates/pool/tests/heartbeats.rs
@@ -3,10 +3,10 @@
 mod control_support;
 
 use bytes::Bytes;
-use flamingorock_core::Term;
+use flamingorock_core::{Lsn, Position, Term};
 use flamingorock_pool::control::{
-    Event, Heartbeat, PeerMessage, PromotionRecord, PromotionState, ReplicaSetReport, StoreContent,
-    StoreItem, StoreKey,
+    Action, Event, Heartbeat, PeerMessage, PositionSample, PromotionRecord, PromotionState,
+    ReplicaSetReport, StoreContent, StoreItem, StoreKey,
 };
 use flamingorock_pool::traffic::Report;
 
@@ -245,3 +245,57 @@
     pair.run(1_000);
     assert!(pair.world.permit.expires_us() > permitted_us + 1_000 * MILLISECOND_US);
 }
+
+/// Guards against a position that is taken for newer than it is, because its datagram was delayed,
+/// and against one of another primary.
+#[test]
+fn position_of_another_proxy_counts_from_the_echoed_heartbeat() {
+    let mut world = World::new();
+    world.list_configured(vec![promotion(0), member(1, 4)], vec![set_name(0)]);
+    world.messages();
+    world.now_us = 1_000 * MILLISECOND_US;
+    let sent_us = world.now_us;
+    let sequence = world
+        .messages()
+        .into_iter()
+        .find_map(|message| match message {
+            PeerMessage::Heartbeat(heartbeat) => Some(heartbeat.sequence),
+            _ => None,
+        })
+        .expect("a heartbeat is due");
+    // The response arrives late.
+    world.now_us += 600 * MILLISECOND_US;
+    let mut passed = Vec::new();
+    for (number, term) in [(1, 2), (2, 1)] {
+        let sample = PositionSample {
+            replica_set: set_name(0),
+            term: Term(term),
+            position: Position::new(Term(1), Lsn(50)),
+            age_ms: 100,
+        };
+        let heartbeat = Heartbeat {
+            from: bytes("proxy-1"),
+            address: peer_address(),
+            incarnation: 4,
+            sequence: number,
+            echo: sequence,
+            configuration_version: 1,
+            is_store_unreachable: false,
+            reports: Vec::new(),
+            sets_base_version: 0,
+            sets_version: 1,
+            sets_version_echo: 0,
+            sample: Some(sample),
+        };
+        world.control.push(Event::Peer(PeerMessage::Heartbeat(heartbeat)));
+        world.control.tick(world.now_us);
+        let mut actions = Vec::new();
+        world.control.take_actions(&mut actions);
+        passed.extend(actions.into_iter().filter_map(|action| match action {
+            Action::PassPosition { term, at_us, .. } => Some((term, at_us)),
+            _ => None,
+        }));
+    }
+    // The first position is of a term that this proxy does not know.
+    assert_eq!(passed, [(Term(1), sent_us - 100 * MILLISECOND_US)]);
+}
