Keep scarce connections for a second, and spread reads over the replicas

Cause: a connection set up occupies an execution slot for 12 ms, about as long as a statement, and 117 proxies opened one for every second request. Idle connections were closed after 0.3 s, though a proxy uses a given primary about every two seconds and 56 of 88 places were free. Among replicas with the same expected latency every proxy chose the first one.

Change: scarce connections stay open for a second, 20 ms while the instance has reached its limit, as before; ties are broken by rendezvous.

--- a/crates/pool/src/traffic/systems/idle_connections.rs
+++ b/crates/pool/src/traffic/systems/idle_connections.rs
@@ -14,7 +14,7 @@
 const IDLE_TIMEOUT_US: u64 = 2_000_000;
 /// Idle timeout at an instance whose connection limit does not suffice for a connection of every
 /// proxy.
-const SCARCE_IDLE_TIMEOUT_US: u64 = 300_000;
+const SCARCE_IDLE_TIMEOUT_US: u64 = 1_000_000;
 /// Idle timeout while such an instance has reached its limit and other proxies may be waiting to
 /// connect.
 const EXHAUSTED_IDLE_TIMEOUT_US: u64 = 20_000;
--- a/crates/pool/src/traffic/systems/replica_placement.rs
+++ b/crates/pool/src/traffic/systems/replica_placement.rs
@@ -9,7 +9,7 @@
 use super::super::tables::Tables;
 use super::placement::Placement;
 use super::primary_placement::{self, concurrency_limit};
-use crate::InstanceKey;
+use crate::{InstanceKey, rendezvous};
 
 /// Time that a read waits for a busy replica before it may use an idle primary.
 const SPILL_AFTER_US: u64 = 15_000;
@@ -55,14 +55,14 @@
     read_time_us: u64,
     now_us: u64,
 ) -> Placement {
-    let mut best: Option<(u64, InstanceKey)> = None;
+    let mut best: Option<((u64, u64), InstanceKey)> = None;
     let mut has_busy = false;
     for key in set.instances.iter().copied().filter(|key| set.primary != Some(*key)) {
         match eligibility(tables, set, key, request, position, read_time_us, now_us) {
             Eligibility::Eligible => {
-                let expected_latency_us = expected_latency_us(tables, session, key);
-                if best.is_none_or(|(best_us, _)| expected_latency_us < best_us) {
-                    best = Some((expected_latency_us, key));
+                let cost = (expected_latency_us(tables, session, key), preference(tables, key));
+                if best.is_none_or(|(best_cost, _)| cost < best_cost) {
+                    best = Some((cost, key));
                 }
             }
             Eligibility::Busy => has_busy = true,
@@ -176,6 +176,13 @@
     response_time_us * (running + 1) + distance_us + setup_us
 }
 
+/// Order of replicas with the same expected latency, which differs between proxies: otherwise all
+/// would choose the same one.
+fn preference(tables: &Tables, key: InstanceKey) -> u64 {
+    let instance = tables.instances.get(key);
+    instance.map_or(u64::MAX, |instance| !rendezvous::weight(&tables.config.name, &instance.id))
+}
+
 /// Whether this proxy runs nothing at the primary, so that it may take a read for which every fresh
 /// replica is busy.
 fn is_primary_idle(tables: &Tables, set: &ReplicaSet) -> bool {
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -95,6 +95,7 @@
     let mut refused = 0;
     for round in 0..40 {
         harness.advance(100 * MILLISECOND_US);
+        harness.answer_probes(position(1, 1));
         share_position(&mut harness, round);
         harness.query(session, "READ 1");
         let mut instance = start(&mut harness, round, position(1, 1));
@@ -108,3 +109,22 @@
     assert!(refused <= 4, "{refused} refused:\n{}", harness.transcript);
     assert!((2..=6).contains(&replica_connects(&harness)), "{}", harness.transcript);
 }
+
+/// Guards against proxies that all send their reads to the same one of several idle replicas.
+#[test]
+fn proxies_spread_their_reads_over_the_replicas() {
+    let mut reads = [0, 0];
+    for index in 0..60 {
+        let mut harness = Harness::in_fleet(&format!("proxy-{index}"), PROXIES, PERMIT_US);
+        let session = harness.open_session(STALE_DB);
+        harness.advance(1_500 * MILLISECOND_US);
+        share_position(&mut harness, 0);
+        harness.query(session, "READ 1");
+        match start(&mut harness, 0, position(1, 10)) {
+            "b" => reads[0] += 1,
+            "c" => reads[1] += 1,
+            instance => panic!("read at {instance}"),
+        }
+    }
+    assert!(reads.iter().all(|count| (18..=42).contains(count)), "{reads:?}");
+}
