Keep idle connections to a third of each replica's places

Cause: after a loss of power the dead connections count for 3 s; with half of the places kept open, the same proxies do not find room when they are back.

--- a/crates/pool/src/traffic/systems/idle_connections.rs
+++ b/crates/pool/src/traffic/systems/idle_connections.rs
@@ -53,7 +53,7 @@
 }
 
 /// Whether a replica is the one that this proxy reads from in a set with scarce connections.
-/// Rendezvous hashing spreads the proxies over the replicas; they use at most half of the
+/// Rendezvous hashing spreads the proxies over the replicas; they use at most a third of the
 /// connection limit.
 fn is_assigned_replica(tables: &Tables, set: &ReplicaSet, key: InstanceKey) -> bool {
     let replicas = || set.instances.iter().copied().filter(|key| set.primary != Some(*key));
@@ -72,6 +72,6 @@
     if assigned.or_else(|| replicas().max_by_key(weight)) != Some(key) {
         return false;
     }
-    let readers = (set.connections_limit / 2).saturating_mul(replicas().count() as u32);
+    let readers = (set.connections_limit / 3).saturating_mul(replicas().count() as u32);
     rendezvous::is_selected(&tables.config.name, &set.name, readers, tables.view.proxies)
 }
