--- a/crates/pool/src/control/systems.rs
+++ b/crates/pool/src/control/systems.rs
@@ -22,6 +22,8 @@
 mod shutdown;
 mod stalled_failovers;
 mod stop_acks;
+mod store_contact;
+mod store_items;
 
 use super::tables::Tables;
 
--- a/crates/pool/src/control/systems/instance_relay.rs
+++ b/crates/pool/src/control/systems/instance_relay.rs
@@ -9,7 +9,7 @@
 use super::super::replica_set_state::KnownInstance;
 use super::super::tables::Tables;
 use super::super::{Action, Heartbeat, PeerMessage};
-use super::mirror;
+use super::store_items;
 use crate::{InstanceEntry, rendezvous};
 
 /// Average number of proxies that send the instances to one that cannot reach the store.
@@ -49,7 +49,7 @@
     for entry in entries.into_iter().filter(|entry| entry.replica_set == *name) {
         let known = tables.replica_sets.get(name).and_then(|set| set.instances.get(&entry.id));
         if known.is_none_or(|known| is_newer(&entry, known)) {
-            mirror::apply_instance(tables, entry, now_us);
+            store_items::apply_instance(tables, entry, now_us);
         }
     }
 }
--- a/crates/pool/src/control/systems/intake.rs
+++ b/crates/pool/src/control/systems/intake.rs
@@ -5,7 +5,7 @@
 use super::stop_acks::{self, StopAck};
 use super::{
     detection, directory, failover_store, failovers, heartbeats, instance_relay, mirror, records,
-    registration, replica_lag, search, shutdown, stalled_failovers,
+    registration, replica_lag, search, shutdown, stalled_failovers, store_contact,
 };
 use crate::traffic::Report;
 use crate::{InstanceCallOutcome, InstanceCallResult};
@@ -35,7 +35,7 @@
 }
 
 fn apply_store(tables: &mut Tables, response: StoreResponse, now_us: u64) {
-    mirror::record_contact(tables, &response, now_us);
+    store_contact::record_contact(tables, &response, now_us);
     match &response.call {
         StoreCall::List { .. } | StoreCall::Watch { .. } => {
             mirror::response_received(tables, response, now_us);
