Let a read wait a moment for a primary's position before it connects to it

Load pattern: after a power loss of 117 proxies none knows a position, and every read asks its primary, which has 55 places left beside those that the dead hold. Another proxy's position arrives within some tens of milliseconds; the read waits 60 ms for it, then takes a place at the primary as before.

--- a/crates/pool/src/traffic/systems/placement.rs
+++ b/crates/pool/src/traffic/systems/placement.rs
@@ -2,8 +2,9 @@
 
 use flamingorock_core::Position;
 
-use super::super::replica_set::PrimaryState;
+use super::super::replica_set::{PrimaryState, ReplicaSet};
 use super::super::request::{Request, Routing};
+use super::super::session::Session;
 use super::super::tables::{Tables, Timer};
 use super::{completion, connections, primary_placement, replica_placement, sending};
 use crate::{ConnectionKey, ErrorCode, InstanceKey, ReplicaSetKey, SessionKey};
@@ -11,6 +12,8 @@
 /// A proxy that has just started uses 1/3 of its share, because connections of dead hosts may still
 /// count towards the limit.
 const STARTUP_SHARE_DIVISOR: u32 = 3;
+/// Time that a read waits for the position of a primary that is not connected.
+const POSITION_WAIT_US: u64 = 60_000;
 /// Allowance for the difference between the times at which a caller and this proxy consider a read
 /// to begin.
 const STALENESS_MARGIN_US: u64 = 50_000;
@@ -27,6 +30,8 @@
     Send { connection: ConnectionKey, min_position: Option<Position> },
     /// Keep it queued.
     Wait,
+    /// Keep it queued, and look at it again at this time at the latest.
+    WaitUntil { due_us: u64 },
     /// Keep it queued until a statement at the primary finishes.
     WaitForCapacity,
     /// Keep it queued; another connection to this instance would help.
@@ -49,6 +54,10 @@
                 sending::assign_connection(tables, session, connection, now_us);
             }
             Placement::Wait => remaining.push(session),
+            Placement::WaitUntil { due_us } => {
+                tables.timers.add(due_us, Timer::Wakeup);
+                remaining.push(session);
+            }
             Placement::WaitForCapacity => {
                 match retry_after_queue_delay_ms(tables, key, session, queued_ahead, now_us) {
                     None => {
@@ -170,12 +179,34 @@
                         now_us,
                     )
                 }
-                _ => primary_placement::choose(tables, set, row, request, now_us),
+                Some(_) => primary_placement::choose(tables, set, row, request, now_us),
+                None => without_position(tables, set, row, request, now_us),
             }
         }
     }
 }
 
+/// Places a read for which no position of the primary is known. A connection to the primary is
+/// opened for it only after a moment, in which another proxy may share the position: after a power
+/// loss of a large fleet all proxies lack the positions, and a primary has no place for each.
+fn without_position(
+    tables: &Tables,
+    set: &ReplicaSet,
+    session: &Session,
+    request: &Request,
+    now_us: u64,
+) -> Placement {
+    let placement = primary_placement::choose(tables, set, session, request, now_us);
+    let is_scarce = set.min_connections == 0;
+    match placement {
+        Placement::WaitForConnection(_) if is_scarce => {
+            let due_us = request.arrived_us + POSITION_WAIT_US;
+            if now_us < due_us { Placement::WaitUntil { due_us } } else { placement }
+        }
+        placement => placement,
+    }
+}
+
 /// Time before which every acknowledged commit must be visible to a read that begins now.
 pub fn read_time_us(max_staleness_us: u64, now_us: u64) -> u64 {
     (now_us + STALENESS_MARGIN_US).saturating_sub(max_staleness_us)
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -146,3 +146,24 @@
     }
     assert_eq!(closed, [(0, true), (5_000 * MILLISECOND_US, false)]);
 }
+
+/// Guards against a read that takes a place at the primary only to learn its position, although
+/// another proxy shares that a moment later.
+#[test]
+fn read_waits_a_moment_for_the_position_of_the_primary() {
+    let mut harness = Harness::in_fleet("proxy", PROXIES, PERMIT_US);
+    let session = harness.open_session(STALE_DB);
+    harness.advance(2_000 * MILLISECOND_US);
+    harness.query(session, "READ 1");
+    harness.advance(30 * MILLISECOND_US);
+    assert!(!harness.transcript.contains("a <- connect"), "{}", harness.transcript);
+    share_position(&mut harness, 0);
+    harness.advance(MILLISECOND_US);
+    assert_ne!(start(&mut harness, 0, position(1, 10)), "a", "{}", harness.transcript);
+
+    let late = harness.open_session(STALE_DB);
+    harness.advance(2_000 * MILLISECOND_US);
+    harness.query(late, "READ 1");
+    harness.advance(60 * MILLISECOND_US);
+    assert!(harness.transcript.contains("a <- connect"), "{}", harness.transcript);
+}
