Reserve ports by a listener instead of a file

I had run only the new test and those of the daemon. Change: the reservation is a listener at the same port of another loopback address; it ends with the process.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use database::{Database, DatabaseConfig, Storage};
 pub use host_list::HostList;
-pub use ports::{free_port, reservation_path};
+pub use ports::{free_port, reservation_address};
 pub use store::Store;
